--- /dev/null
+++ b/src/main/java/damsonseam/Decide.java
@@ -0,0 +1,630 @@
+package damsonseam;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * All decisions of one front: which server gets a call and when, or that it is held, refused or failed. The
+ * interface is {@link Front} ({@code Front.java}). The mechanism is the congestion control of docs/DESIGN.md:
+ * each server has, for each rank of worth, an onset level T, an abatement level A below it and a discard level
+ * D above it, on the wait that this front estimates from its own set-ups. Times are in milliseconds.
+ */
+public final class Decide implements Front {
+
+    // ---- Parameters -------------------------------------------------------------------------------------
+
+    /** phi(eps): deviations above the ordinary mean wait at the first onset; a normal tail of 1 in 700. */
+    private static final double PHI = 3.0;
+    /** Share of a class's aim that a wait may take; the rest pays the way there, late news and growth. */
+    private static final double ROOM_OF_AIM = 0.5;
+    /** The first onset lies at least and at most at these shares of the room: levels must stay apart. */
+    private static final double ONSET_LEAST = 0.2;
+    private static final double ONSET_MOST = 0.5;
+    /** Abatement, as a share of the way from the ordinary wait up to onset. */
+    private static final double ABATE = 0.5;
+    /** Weight of the newest delay in the estimate, and in the slow figures of what is ordinary. */
+    private static final double FAST = 0.5;
+    private static final double SLOW = 0.05;
+    /** Fallback: the estimate falls so many ms a ms; a processor left alone falls by 1, others still send. */
+    private static final double FALLBACK = 0.5;
+    /** Held and moved calls reach one server at so many times its ordinary rate from this front. */
+    private static final double PACE = 2.0;
+    /** Time between looks at held and unanswered calls: well under any wait that matters. */
+    private static final double SWEEP = 20.0;
+    /** Bad endings in a row, with no answer between, after which a server is taken to be down. */
+    private static final int DOWN_AFTER = 2;
+    /** Span of the average rate of calls offered here: some tens of calls, a few bursts long. */
+    private static final double RATE_SPAN = 10_000.0;
+    /** Longest time taken for a caller's patience or an aim where the settings give none. */
+    private static final double UNSET_AIM = 1_000.0;
+    /** The timer of the sweep; there is no other. */
+    private static final long SWEEP_TOKEN = 1;
+
+    private final Settings settings;
+    private final Actions act;
+    private final SplittableRandom random;
+    private final double guard;
+    private final double margin;
+    private final double coldFrom;
+    private final double warmWithin;
+    private final double resend;
+    private final double room;
+    private final int maxAttempts;
+    private final boolean mayCancel;
+    private final boolean mayProbe;
+    /** The distinct worths a call can still earn, ascending: a call's rank is its place here. */
+    private final double[] worths;
+
+    // ---- State ------------------------------------------------------------------------------------------
+
+    private final Map<String, Core> servers = new TreeMap<>();
+    private final Map<Long, Held> calls = new LinkedHashMap<>();
+    private final TreeSet<Held> queue = new TreeSet<>(Comparator.comparingInt((Held c) -> -c.rank)
+            .thenComparingDouble(c -> c.arrived).thenComparingLong(c -> c.id));
+    private boolean sweeping;
+    private double offeredRate;
+    private double offeredAt;
+
+    /** One call that this front owes an answer. */
+    private static final class Held {
+        final long id;
+        final int callClass;
+        final int firstChoice;
+        final double arrived;
+        final double deadline;
+        final double aimBy;
+        final boolean inTransit;
+        int rank;
+        int attempts;
+        boolean moved;
+        Core out;
+        double sentAt;
+        boolean cancelling;
+        double notBefore;
+        Core avoid;
+
+        Held(Call call, double now, double deadline, double aimBy) {
+            id = call.id();
+            callClass = call.callClass();
+            firstChoice = call.firstChoice();
+            inTransit = call.inTransit();
+            arrived = now;
+            this.deadline = deadline;
+            this.aimBy = aimBy;
+        }
+    }
+
+    /** What this front knows of one server. */
+    private static final class Core {
+        final String id;
+        int number;
+        State state = State.RUNNING;
+        boolean down;
+        int badEndings;
+        double startedAt = Double.NEGATIVE_INFINITY;
+        double lowest = Double.POSITIVE_INFINITY;
+        double estimate;
+        double estimateAt;
+        double mean;
+        double variance;
+        int samples;
+        double toldUntil = Double.NEGATIVE_INFINITY;
+        double answeredAt = Double.NEGATIVE_INFINITY;
+        double sentAt = Double.NEGATIVE_INFINITY;
+        double testedAt = Double.NEGATIVE_INFINITY;
+        double pacedAt = Double.NEGATIVE_INFINITY;
+        double tokens;
+        double tokensAt;
+        double perWaiting;
+        final boolean[] stopped;
+        final Map<Long, Double> unanswered = new LinkedHashMap<>();
+
+        Core(String id, int ranks) {
+            this.id = id;
+            stopped = new boolean[ranks];
+        }
+    }
+
+    /** Starts the module of one front. An absent setting is read the careful way. */
+    public Decide(Settings settings, Actions actions) {
+        this.settings = settings;
+        act = actions;
+        random = new SplittableRandom(settings.seed());
+        guard = settings.releaseGuard().orElse(0) + settings.tick().orElse(0);
+        margin = SWEEP + 2 * settings.tick().orElse(0);
+        coldFrom = Math.max(0.05, Math.min(1, settings.coldFrom().orElse(0.25)));
+        warmWithin = Math.max(0, settings.warmWithin().orElse(20_000));
+        resend = settings.resendAfter().orElse(0);
+        maxAttempts = Math.max(1, settings.maxAttempts().orElse(1));
+        mayCancel = settings.mayCancel().orElse(false);
+        mayProbe = settings.mayProbe().orElse(false);
+        double least = Double.POSITIVE_INFINITY;
+        TreeSet<Double> distinct = new TreeSet<>();
+        for (CallClass c : settings.classes()) {
+            least = Math.min(least, aim(c));
+            distinct.add(c.worth().orElse(1));
+            distinct.add(c.worth().orElse(1) * c.lateShare().orElse(0));
+        }
+        worths = distinct.stream().mapToDouble(Double::doubleValue).toArray();
+        double byAim = ROOM_OF_AIM * (least == Double.POSITIVE_INFINITY ? UNSET_AIM : least);
+        // A set-up repeated because it waited is work for nothing: the room ends before the repeat.
+        room = resend > 0 ? Math.min(byAim, resend) : byAim;
+        if (settings.listOnRequest().orElse(false)) {
+            act.followList();
+        }
+    }
+
+    private static double aim(CallClass c) {
+        return c.aim().orElse(c.deadline().orElse(UNSET_AIM));
+    }
+
+    // ---- Events -----------------------------------------------------------------------------------------
+
+    @Override
+    public void serverList(double now, boolean full, List<ServerEntry> entries) {
+        if (full) {
+            TreeSet<String> named = new TreeSet<>();
+            entries.forEach(e -> named.add(e.id()));
+            servers.values().removeIf(s -> !named.contains(s.id));
+        }
+        for (ServerEntry e : entries) {
+            if (e.state() == State.GONE) {
+                servers.remove(e.id());
+                continue;
+            }
+            Core s = servers.computeIfAbsent(e.id(), id -> new Core(id, worths.length));
+            s.number = e.number();
+            s.state = e.state();
+            double started = e.startedAt().orElse(Double.NEGATIVE_INFINITY);
+            if (started > s.startedAt) {
+                startCold(s, started, now);
+            }
+        }
+        pump(now);
+    }
+
+    @Override
+    public void listFailed(double now) {
+        if (settings.listOnRequest().orElse(false)) {
+            act.followList();
+        }
+    }
+
+    @Override
+    public void offered(double now, Call call) {
+        offeredRate = offeredRate(now) + 1 / RATE_SPAN;
+        offeredAt = now;
+        CallClass c = settings.classes().get(call.callClass());
+        Held held = new Held(call, now, now + call.timeLeft() - margin,
+                call.redialled() ? now : now + aim(c));
+        held.rank = rank(held, now);
+        calls.put(held.id, held);
+        place(held, now);
+        sweepLater();
+    }
+
+    @Override
+    public void stands(double now, long id, String server, int attempt, double delay) {
+        Core s = servers.get(server);
+        if (s != null) {
+            answered(s, id, delay, now, true);
+        }
+        calls.remove(id);
+        pump(now);
+    }
+
+    @Override
+    public void ended(double now, Ending e) {
+        Core s = servers.get(e.server());
+        Held held = calls.get(e.call());
+        boolean wasOut = held != null && held.out != null && held.out.id.equals(e.server());
+        if (s != null) {
+            judge(s, e, wasOut, now);
+        }
+        if (held == null || e.last()) {
+            calls.remove(e.call());
+            pump(now);
+            return;
+        }
+        held.out = null;
+        held.cancelling = false;
+        held.avoid = s;
+        held.moved = true;
+        if (e.result() == Result.TIMED_OUT || e.result() == Result.RESET || e.result() == Result.CANCELLED) {
+            // Release awaited: what the attempt held may stay taken until the guard time has passed.
+            held.notBefore = now + guard;
+        }
+        boolean hopeless = e.reason() == Reason.NUMBER_BUSY || held.attempts >= maxAttempts
+                || Math.max(now, held.notBefore) >= held.deadline || held.inTransit;
+        if (hopeless) {
+            calls.remove(held.id);
+            act.fail(held.id);
+        } else {
+            place(held, now);
+        }
+        pump(now);
+        sweepLater();
+    }
+
+    @Override
+    public void left(double now, long call) {
+        Held held = calls.remove(call);
+        if (held != null) {
+            queue.remove(held);
+        }
+    }
+
+    @Override
+    public void probed(double now, String server, boolean asked, boolean answered, double delay,
+            Report report) {
+        Core s = servers.get(server);
+        if (s == null || !asked) {
+            return;
+        }
+        if (answered) {
+            revive(s, now);
+            readReport(s, report, now);
+        } else {
+            s.badEndings++;
+        }
+        pump(now);
+    }
+
+    @Override
+    public void message(double now, int from, byte[] body) {
+        // Fronts decide alone: nothing is sent to others and nothing is believed from them.
+    }
+
+    @Override
+    public void timer(double now, long token) {
+        sweeping = false;
+        for (Held held : new ArrayList<>(calls.values())) {
+            if (held.out != null) {
+                watch(held, now);
+            } else {
+                int rank = rank(held, now);
+                if (rank != held.rank) {
+                    queue.remove(held);
+                    held.rank = rank;
+                    queue.add(held);
+                }
+            }
+        }
+        pump(now);
+        for (Core s : servers.values()) {
+            if (s.down && mayProbe && now >= s.testedAt + testGap() && s.state == State.RUNNING) {
+                s.testedAt = now;
+                act.probe(s.id);
+            }
+        }
+        sweepLater();
+    }
+
+    private void sweepLater() {
+        if (!sweeping && !calls.isEmpty()) {
+            sweeping = true;
+            act.timer(SWEEP, SWEEP_TOKEN);
+        }
+    }
+
+    // ---- Wait estimate ----------------------------------------------------------------------------------
+
+    /** The wait that a set-up sent now would meet: the last figure falling back, or what silence proves. */
+    private double wait(Core s, double now) {
+        double fallen = Math.max(Math.min(s.mean, s.estimate),
+                s.estimate - FALLBACK * (now - s.estimateAt));
+        return Math.max(fallen, silence(s, now));
+    }
+
+    /** Age of the oldest unanswered set-up above the way there: a lower bound of the wait. */
+    private double silence(Core s, double now) {
+        if (s.unanswered.isEmpty()) {
+            return 0;
+        }
+        double oldest = s.unanswered.values().iterator().next();
+        return Math.max(0, now - oldest - (s.samples > 0 ? s.lowest : 0));
+    }
+
+    private void answered(Core s, long id, double delay, double now, boolean sample) {
+        s.unanswered.remove(id);
+        s.answeredAt = now;
+        revive(s, now);
+        if (!sample) {
+            return;
+        }
+        s.lowest = Math.min(s.lowest, delay);
+        double excess = delay - s.lowest;
+        setEstimate(s, s.samples == 0 ? excess : wait(s, now) + FAST * (excess - wait(s, now)), now);
+        s.samples++;
+        if (warmth(s, now) >= 1) {
+            // What is ordinary is learnt from waits up to the first onset: pressure must not become ordinary.
+            double x = Math.min(excess, onset(s, 0));
+            double w = Math.max(SLOW, 1.0 / s.samples);
+            s.variance += w * ((x - s.mean) * (x - s.mean) - s.variance);
+            s.mean += w * (x - s.mean);
+        }
+    }
+
+    private void setEstimate(Core s, double value, double now) {
+        s.estimate = value;
+        s.estimateAt = now;
+    }
+
+    private void readReport(Core s, Report report, double now) {
+        double waiting = report.waiting().orElse(-1);
+        if (report.processorWait().isPresent() && report.processorWait().getAsDouble() >= 0) {
+            setEstimate(s, wait(s, now) + FAST * (report.processorWait().getAsDouble() - wait(s, now)), now);
+        } else if (waiting > 0 && s.perWaiting > 0) {
+            setEstimate(s, wait(s, now) + FAST * (waiting * s.perWaiting - wait(s, now)), now);
+        }
+    }
+
+    /** What an ending tells of the server. */
+    private void judge(Core s, Ending e, boolean wasOut, double now) {
+        if (wasOut) {
+            s.unanswered.remove(e.call());
+        }
+        switch (e.result()) {
+            case COMPLETED, ERROR -> {
+                answered(s, e.call(), e.delay(), now, false);
+                readReport(s, e.report(), now);
+            }
+            case FULL -> {
+                answered(s, e.call(), e.delay(), now, false);
+                if (e.reason() == Reason.PROCESSOR_FULL || e.reason() == Reason.BEYOND_FULL) {
+                    // A notice: every rank but the top stops until abatement; a told wait stops all.
+                    setEstimate(s, Math.max(wait(s, now), discard(s, worths.length - 1)), now);
+                    s.toldUntil = Math.max(s.toldUntil, now + e.toldWait().orElse(0));
+                }
+            }
+            case TIMED_OUT, CANCELLED -> {
+                if (wasOut && s.answeredAt < now - Math.max(e.delay(), room)) {
+                    badEnding(s, now);
+                }
+            }
+            case RESET, UNREACHABLE -> badEnding(s, now);
+            default -> { }
+        }
+    }
+
+    /** Guards against a server that died, whatever killed it, before the list tells. */
+    private void badEnding(Core s, double now) {
+        if (++s.badEndings >= DOWN_AFTER && !s.down) {
+            s.down = true;
+            s.testedAt = now;
+            s.unanswered.keySet().removeIf(id -> !calls.containsKey(id));
+        }
+    }
+
+    /** A server thought down that answers has restarted for all we know: it is cold from now on. */
+    private void revive(Core s, double now) {
+        s.badEndings = 0;
+        if (s.down) {
+            startCold(s, now, now);
+        }
+    }
+
+    // ---- Levels -----------------------------------------------------------------------------------------
+
+    private double onset(Core s, int rank) {
+        double first = s.mean + PHI * Math.sqrt(s.variance);
+        first = Math.max(ONSET_LEAST * room, Math.min(ONSET_MOST * room, first));
+        return first + (room - first) * rank / worths.length;
+    }
+
+    private double discard(Core s, int rank) {
+        return onset(s, rank + 1);
+    }
+
+    private double abatement(Core s, int rank) {
+        double low = Math.min(s.mean, onset(s, 0));
+        return low + ABATE * (onset(s, rank) - low);
+    }
+
+    /** Whether a server takes calls of this rank, by its levels alone. */
+    private boolean open(Core s, int rank, double now) {
+        double wait = wait(s, now);
+        for (int r = 0; r < s.stopped.length; r++) {
+            if (wait >= onset(s, r)) {
+                s.stopped[r] = true;
+            } else if (wait <= abatement(s, r)) {
+                s.stopped[r] = false;
+            }
+        }
+        return !s.stopped[rank] && now >= s.toldUntil;
+    }
+
+    /** A call's rank: the place of the worth that it can still earn; after its aim that is its late worth. */
+    private int rank(Held held, double now) {
+        CallClass c = settings.classes().get(held.callClass);
+        double worth = c.worth().orElse(1) * (now >= held.aimBy ? c.lateShare().orElse(0) : 1);
+        int rank = 0;
+        while (rank < worths.length - 1 && worths[rank] < worth) {
+            rank++;
+        }
+        return rank;
+    }
+
+    // ---- Choice -----------------------------------------------------------------------------------------
+
+    private List<Core> usable(Held held) {
+        List<Integer> allowed = settings.classes().get(held.callClass).servers().orElse(List.of());
+        int own = settings.ownNumber().orElse(-1);
+        List<Core> list = new ArrayList<>();
+        for (Core s : servers.values()) {
+            boolean may = held.inTransit ? s.number == held.firstChoice
+                    : s.number != own && (allowed.isEmpty() || allowed.contains(s.number));
+            if (may && s.state == State.RUNNING) {
+                list.add(s);
+            }
+        }
+        return list;
+    }
+
+    /** First choice while open; else of two drawn from the open ones, the one with fewer own unanswered. */
+    private Core choose(Held held, List<Core> usable, double now) {
+        List<Core> open = new ArrayList<>();
+        Core first = null;
+        for (Core s : usable) {
+            if (!s.down && open(s, held.rank, now) && mayPush(s, now) && !(held.moved && now < s.pacedAt)) {
+                if (s.number == held.firstChoice && s != held.avoid) {
+                    first = s;
+                }
+                open.add(s);
+            }
+        }
+        if (first != null) {
+            return first;
+        }
+        if (open.size() > 1) {
+            open.remove(held.avoid);
+        }
+        if (open.isEmpty()) {
+            return test(held, usable, now);
+        }
+        Core one = open.get(random.nextInt(open.size()));
+        Core two = open.get(random.nextInt(open.size()));
+        return two.unanswered.size() < one.unanswered.size() ? two : one;
+    }
+
+    /** While all are stopped, one set-up now and then goes to a stopped server that owes no answer. */
+    private Core test(Held held, List<Core> usable, double now) {
+        for (Core s : usable) {
+            boolean due = now >= Math.max(s.sentAt, s.testedAt) + testGap() && now >= s.toldUntil;
+            boolean bySetUp = !s.down || !mayProbe;
+            if (due && bySetUp && s.unanswered.isEmpty() && s != held.avoid && mayPush(s, now)) {
+                s.testedAt = now;
+                return s;
+            }
+        }
+        return null;
+    }
+
+    private double testGap() {
+        return Math.max(guard, 2 * room);
+    }
+
+    // ---- Hold and paced hand-over -------------------------------------------------------------------------
+
+    /** Sends the call, or holds it, or refuses it where holding is of no use. */
+    private void place(Held held, double now) {
+        List<Core> usable = usable(held);
+        Held ahead = queue.isEmpty() ? null : queue.first();
+        boolean waitTurn = ahead != null && ahead.rank >= held.rank && ahead.notBefore <= now;
+        if (now >= held.notBefore && !waitTurn) {
+            Core s = choose(held, usable, now);
+            if (s != null) {
+                send(held, s, now);
+                return;
+            }
+        }
+        if (worthHolding(held, usable, now)) {
+            held.moved = true;
+            queue.add(held);
+        } else {
+            refuse(held, now);
+        }
+    }
+
+    /** Between onset and discard a call is held; past discard everywhere it is refused at once. */
+    private boolean worthHolding(Held held, List<Core> usable, double now) {
+        if (usable.isEmpty() || now >= held.deadline - room) {
+            return false;
+        }
+        for (Core s : usable) {
+            if (s.down || wait(s, now) < discard(s, held.rank)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private void refuse(Held held, double now) {
+        queue.remove(held);
+        calls.remove(held.id);
+        // Redials are spread, or they come back in step.
+        double most = settings.maxReturnAdvice().orElse(0);
+        act.refuse(held.id, most > 0 ? most * (0.5 + 0.5 * random.nextDouble()) : 0);
+    }
+
+    private void pump(double now) {
+        for (Held held : new ArrayList<>(queue)) {
+            List<Core> usable = usable(held);
+            Core s = now >= held.notBefore ? choose(held, usable, now) : null;
+            if (s != null) {
+                queue.remove(held);
+                send(held, s, now);
+                s.pacedAt = now + paceGap();
+            } else if (!worthHolding(held, usable, now)) {
+                refuse(held, now);
+            }
+        }
+    }
+
+    private double paceGap() {
+        return Math.min(room, Math.max(1, servers.size()) / (PACE * Math.max(offeredRate, 1e-6)));
+    }
+
+    private double offeredRate(double now) {
+        return offeredRate * Math.exp(-(now - offeredAt) / RATE_SPAN);
+    }
+
+    private void send(Held held, Core s, double now) {
+        held.out = s;
+        held.sentAt = now;
+        held.attempts++;
+        s.sentAt = now;
+        s.unanswered.put(held.id, now);
+        s.tokens -= warmth(s, now) < 1 ? 1 : 0;
+        act.send(held.id, s.id, held.deadline);
+    }
+
+    // ---- Guards -----------------------------------------------------------------------------------------
+
+    /** Guards a call against a server gone silent: with no answer of any kind since it was sent, it moves. */
+    private void watch(Held held, double now) {
+        Core s = held.out;
+        double patience = (s.samples > 0 ? s.lowest : 0) + room;
+        boolean silent = s.answeredAt < held.sentAt && now - held.sentAt > patience;
+        boolean timeToMove = now + guard + room < held.deadline && held.attempts < maxAttempts;
+        if (mayCancel && silent && timeToMove && !held.cancelling && usable(held).size() > 1) {
+            held.cancelling = true;
+            act.cancel(held.id, held.attempts - 1);
+        }
+    }
+
+    /** A server starts cold: it gets this front's share of what it can do, and no more, until it is warm. */
+    private void startCold(Core s, double since, double now) {
+        s.startedAt = since;
+        s.down = false;
+        s.badEndings = 0;
+        s.tokens = 0;
+        s.tokensAt = now;
+        s.unanswered.clear();
+        setEstimate(s, s.mean, now);
+    }
+
+    /** The share of its capacity that a server has surely reached since its start. */
+    private double warmth(Core s, double now) {
+        double age = now - s.startedAt;
+        return age >= warmWithin ? 1 : coldFrom + (1 - coldFrom) * Math.max(0, age) / warmWithin;
+    }
+
+    /** The cold budget: the rate this front gives an ordinary server, scaled by how warm this one is. */
+    private boolean mayPush(Core s, double now) {
+        double warmth = warmth(s, now);
+        if (warmth >= 1) {
+            return true;
+        }
+        double rate = warmth * offeredRate(now) / Math.max(1, servers.size());
+        s.tokens = Math.min(1.5, s.tokens + rate * (now - s.tokensAt));
+        s.tokensAt = now;
+        return s.tokens >= 1;
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonseam/adapter/Main.java
@@ -0,0 +1,32 @@
+package damsonseam.adapter;
+
+import java.io.BufferedReader;
+import java.io.BufferedWriter;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStreamWriter;
+import java.nio.charset.StandardCharsets;
+
+/** Command line of the adapter: batches of events on standard input, replies on standard output. */
+public final class Main {
+
+    private Main() { }
+
+    /** Runs the command line and exits: 0 at end of input, 1 on malformed input, 2 on a wrong command line. */
+    public static void main(String[] args) {
+        if (args.length != 1 || !args[0].equals("adapter")) {
+            System.err.println("usage: java -jar damsonseam.jar adapter");
+            System.exit(2);
+        }
+        BufferedReader in = new BufferedReader(
+                new InputStreamReader(System.in, StandardCharsets.UTF_8), 1 << 16);
+        BufferedWriter out = new BufferedWriter(
+                new OutputStreamWriter(System.out, StandardCharsets.UTF_8), 1 << 16);
+        try {
+            new Wire(in, out).run();
+        } catch (WireException | IOException e) {
+            System.err.println("damsonseam: " + e.getMessage());
+            System.exit(1);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonseam/adapter/WireTest.java
@@ -0,0 +1,109 @@
+package damsonseam.adapter;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.StringReader;
+import java.io.StringWriter;
+import org.junit.jupiter.api.Test;
+
+/** The adapter on text batches. */
+class WireTest {
+    private static final String BOOT = "boot 0 11 Balancers=2 Caps.MaxAttempts=3 Caps.MayCancel=true"
+            + " Caps.MayProbe=true Caps.RetryAfter=true Caps.MaxRetryAfter=2000.0 Discovery=push"
+            + " FamilyInfo.Guard=300.0 FamilyInfo.SelfNo=-1 FamilyInfo.SkilledPools.count=1"
+            + " FamilyInfo.SkilledPools.0=0,1 Odd.Setting=x Report.Fields=spare,total,cpu_share,pending"
+            + " RequestClasses.count=1 RequestClasses.0.Aim=1500.0 RequestClasses.0.HardLimit=9000.0"
+            + " RequestClasses.0.LateValue=0.25 RequestClasses.0.Worth=1.0 Tick=5.0\n";
+    private static final String LIST = "manifest 3 2\nitem server.a - 0 0 0 1 on\nitem server.b - 0 1 0 1 on\n"
+            + "roster_change 0 disk 4 3\n";
+
+    private static String run(String input) {
+        StringWriter out = new StringWriter();
+        try {
+            new Wire(new BufferedReader(new StringReader(input)), out).run();
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+        return out.toString();
+    }
+
+    private static String started(String events) {
+        return run("turn 10.0\n" + BOOT + LIST + events + "flush\n");
+    }
+
+    private static void malformed(String event, String expected) {
+        WireException e = assertThrows(WireException.class, () -> started(event + "\n"));
+        assertTrue(e.getMessage().startsWith("line 7: expected " + expected), e.getMessage());
+    }
+
+    private static String order(long id, int dest) {
+        return "order 0 " + id + " 0 line-k 1 - 0 -1 3000.0 0 " + dest + "\n";
+    }
+
+    @Test
+    void anEmptyBatchGetsAnEmptyReply() {
+        assertEquals("done\n", run("turn 8412.25\nflush\n"));
+    }
+
+    @Test
+    void aCallGoesToItsFirstChoice() {
+        assertTrue(started(order(7, 1)).startsWith("issue 0 7 server.b "));
+        assertTrue(started(order(8, 0)).startsWith("issue 0 8 server.a "));
+    }
+
+    @Test
+    void anAttemptIsAbandonedBeforeTheCallerIsGone() {
+        String[] parts = started(order(7, 1)).split("\n")[0].split(" ");
+        double abandon = Double.parseDouble(parts[4]);
+        assertTrue(abandon > 2000 && abandon < 3010, parts[4]);
+    }
+
+    @Test
+    void aListNumberIsReusedInOneBatch() {
+        String again = "manifest 3 1\nitem server.c - 0 2 0 1 on\nroster_change 0 diff 5 3\n";
+        String again2 = "manifest 3 1\nitem server.a - 0 0 0 1 off\nroster_change 0 diff 6 3\n";
+        String reply = started(again + again2 + order(7, 0));
+        assertTrue(reply.startsWith("issue 0 7 server.b ") || reply.startsWith("issue 0 7 server.c "), reply);
+        assertTrue(started(again + order(7, 2)).startsWith("issue 0 7 server.c "));
+    }
+
+    @Test
+    void stopAndBootInOneBatchStartAfresh() {
+        String reply = started("stop 0\n" + BOOT.replace("boot 0 11", "boot 0 12") + order(7, 0));
+        assertTrue(reply.startsWith("overload_reply 0 7 "), reply);
+    }
+
+    @Test
+    void newsOfCallsNoLongerHeldIsPassedOver() {
+        String reply = started("result 0 99 0 18.5 - server.a 1 ok spare:4,total:9,cpu_share:0.6,pending:3\n"
+                + "gone 0 99\ntick_due 0 77\nroster_change 0 error 0 0\n"
+                + "pong 0 server.a ok 0.0 spare:4,total:9,cpu_share:-1,pending:-1\ndatagram 0 1 6869\n");
+        assertEquals("done\n", reply);
+    }
+
+    @Test
+    void aFullProcessorSendsTheCallElsewhereAtOnce() {
+        String reply = run("turn 10.0\n" + BOOT + LIST + order(7, 0)
+                + "flush\nturn 40.0\nresult 0 7 0 30.0 3 server.a 0 full spare:4,later:x\nflush\n");
+        assertTrue(reply.contains("issue 0 7 server.b "), reply);
+    }
+
+    @Test
+    void malformedLinesNameTheLineAndWhatWasExpected() {
+        malformed("ordre 0 1", "a known event");
+        malformed("order 0 x", "the call as a whole number");
+        malformed("order 0 7 0 line-k 1 - 0 -1 3000.0 0", "the destination");
+        malformed("gone 0 7 8", "the end of the line");
+        malformed("gone 5 7", "a running instance");
+        malformed("roster_change 0 diff 1 9", "a list number seen before");
+        malformed("result 0 7 0 18.5 - server.a 1 fine -", "a known outcome");
+        malformed("datagram 0 1 6g", "bytes as hex digits");
+        assertThrows(WireException.class, () -> run("turn 5\nflush\nturn 4\nflush\n"));
+        assertThrows(WireException.class, () -> run("turn 5\n"));
+        assertThrows(WireException.class, () -> run("flush\n"));
+    }
+}
