--- a/src/main/java/damsonseam/Decide.java
+++ b/src/main/java/damsonseam/Decide.java
@@ -12,8 +12,8 @@
 /**
  * All decisions of one front: which server gets a call and when, or that it is held, refused or failed. The
  * interface is {@link Front} ({@code Front.java}). The mechanism is the congestion control of docs/DESIGN.md:
- * each server has, for each rank of worth, an onset level T, an abatement level A below it and a discard level
- * D above it, on the wait that this front estimates from its own set-ups. Times are in milliseconds.
+ * each server has, for each rank of worth, an onset level T, an abatement level A below it and a discard
+ * level D above it, on the wait that this front estimates from its own set-ups. Times are in milliseconds.
  */
 public final class Decide implements Front {
 
--- a/src/main/java/damsonseam/Front.java
+++ b/src/main/java/damsonseam/Front.java
@@ -65,7 +65,8 @@
             OptionalDouble inWork, OptionalDouble acceptedRate, OptionalDouble holdBackShare) {
         /** A report that says nothing. */
         public static final Report NONE = new Report(OptionalDouble.empty(), OptionalDouble.empty(),
-                OptionalDouble.empty(), OptionalDouble.empty(), OptionalDouble.empty(), OptionalDouble.empty());
+                OptionalDouble.empty(), OptionalDouble.empty(), OptionalDouble.empty(),
+                OptionalDouble.empty());
     }
 
     /** A class of call. {@code servers} holds the numbers it may use; empty when any will do. */
--- a/src/main/java/damsonseam/adapter/Main.java
+++ b/src/main/java/damsonseam/adapter/Main.java
@@ -12,7 +12,7 @@
 
     private Main() { }
 
-    /** Runs the command line and exits: 0 at end of input, 1 on malformed input, 2 on a wrong command line. */
+    /** Runs the command line; exits with 0 at end of input, 1 on malformed input, 2 on wrong usage. */
     public static void main(String[] args) {
         if (args.length != 1 || !args[0].equals("adapter")) {
             System.err.println("usage: java -jar damsonseam.jar adapter");
--- a/src/main/java/damsonseam/adapter/Reply.java
+++ b/src/main/java/damsonseam/adapter/Reply.java
@@ -18,8 +18,8 @@
 
     @Override
     public void send(long call, String server, double abandonAt) {
-        action("issue").append(' ').append(call).append(' ').append(server).append(' ').append(time(abandonAt))
-                .append('\n');
+        action("issue").append(' ').append(call).append(' ').append(server).append(' ')
+                .append(time(abandonAt)).append('\n');
     }
 
     @Override
--- a/src/main/java/damsonseam/adapter/StartSettings.java
+++ b/src/main/java/damsonseam/adapter/StartSettings.java
@@ -33,12 +33,13 @@
 
     Settings settings(long seed) {
         return new Settings(seed, whole("Balancers"), classes(), whole("FamilyInfo.SelfNo"),
-                whole("Caps.MaxAttempts"), flag("Caps.MayCancel"), flag("Caps.MayProbe"), flag("Caps.MayTell"),
-                text("Discovery").map(mode -> mode.equals("ask")), number("Tick"),
+                whole("Caps.MaxAttempts"), flag("Caps.MayCancel"), flag("Caps.MayProbe"),
+                flag("Caps.MayTell"), text("Discovery").map(mode -> mode.equals("ask")), number("Tick"),
                 number("Invariants.AnswerSlack"), number("Invariants.DrainGrace"),
-                number("Invariants.ColdFrom"), number("Invariants.WarmWithin"), number("Invariants.TipMultiple"),
-                number("Invariants.Fall"), number("FamilyInfo.Guard"), number("FamilyInfo.Retransmit"),
-                flag("Caps.RetryAfter").orElse(false) ? number("Caps.MaxRetryAfter") : OptionalDouble.empty());
+                number("Invariants.ColdFrom"), number("Invariants.WarmWithin"),
+                number("Invariants.TipMultiple"), number("Invariants.Fall"), number("FamilyInfo.Guard"), number("FamilyInfo.Retransmit"),
+                flag("Caps.RetryAfter").orElse(false)
+                        ? number("Caps.MaxRetryAfter") : OptionalDouble.empty());
     }
 
     /** Names of the values of a load report, in their order. */
@@ -51,8 +52,8 @@
         int count = whole("RequestClasses.count").orElse(0);
         for (int i = 0; i < count; i++) {
             String path = "RequestClasses." + i + ".";
-            classes.add(new CallClass(number(path + "Aim"), number(path + "HardLimit"), number(path + "Worth"),
-                    number(path + "LateValue"), pools(i)));
+            classes.add(new CallClass(number(path + "Aim"), number(path + "HardLimit"),
+                    number(path + "Worth"), number(path + "LateValue"), pools(i)));
         }
         return classes;
     }
--- a/src/main/java/damsonseam/adapter/Wire.java
+++ b/src/main/java/damsonseam/adapter/Wire.java
@@ -68,7 +68,8 @@
     private Line must(String expected) throws IOException {
         Line line = next();
         if (line == null) {
-            throw new WireException("line " + lineNumber + ": expected " + expected + ", found the end of input");
+            throw new WireException(
+                    "line " + lineNumber + ": expected " + expected + ", found the end of input");
         }
         return line;
     }
