--- a/src/main/java/damsonseam/adapter/StartSettings.java
+++ b/src/main/java/damsonseam/adapter/StartSettings.java
@@ -37,7 +37,8 @@
                 flag("Caps.MayTell"), text("Discovery").map(mode -> mode.equals("ask")), number("Tick"),
                 number("Invariants.AnswerSlack"), number("Invariants.DrainGrace"),
                 number("Invariants.ColdFrom"), number("Invariants.WarmWithin"),
-                number("Invariants.TipMultiple"), number("Invariants.Fall"), number("FamilyInfo.Guard"), number("FamilyInfo.Retransmit"),
+                number("Invariants.TipMultiple"), number("Invariants.Fall"),
+                number("FamilyInfo.Guard"), number("FamilyInfo.Retransmit"),
                 flag("Caps.RetryAfter").orElse(false)
                         ? number("Caps.MaxRetryAfter") : OptionalDouble.empty());
     }
