--- a/src/main/java/damsonseam/Decide.java
+++ b/src/main/java/damsonseam/Decide.java
@@ -31,15 +31,21 @@
     /** Weight of the newest delay in the estimate, and in the slow figures of what is ordinary. */
     private static final double FAST = 0.5;
     private static final double SLOW = 0.05;
-    /** Fallback: the estimate falls so many ms a ms; a processor left alone falls by 1, others still send. */
-    private static final double FALLBACK = 0.5;
+    /** Fallback: the estimate falls so many ms a ms, as the wait does at a processor that is left alone. */
+    private static final double FALLBACK = 1.0;
+    /** Set-ups that a front may have unanswered at a pressed server: each answer then lets one more go. */
+    private static final int PRESSED_WINDOW = 1;
+    /** Share of the cold budget used: the rest covers uneven fronts and chance. */
+    private static final double BUDGET_SHARE = 0.5;
+    /** Answers after which a server's own figures count as known. */
+    private static final int KNOWN = 10;
     /** Held and moved calls reach one server at so many times its ordinary rate from this front. */
     private static final double PACE = 2.0;
     /** Time between looks at held and unanswered calls: well under any wait that matters. */
     private static final double SWEEP = 20.0;
     /** Bad endings in a row, with no answer between, after which a server is taken to be down. */
     private static final int DOWN_AFTER = 2;
-    /** Span of the average rate of calls offered here: some tens of calls, a few bursts long. */
+    /** Span of the average rate of set-ups that stand: some tens of calls, longer than most bursts. */
     private static final double RATE_SPAN = 10_000.0;
     /** Longest time taken for a caller's patience or an aim where the settings give none. */
     private static final double UNSET_AIM = 1_000.0;
@@ -68,8 +74,6 @@
     private final TreeSet<Held> queue = new TreeSet<>(Comparator.comparingInt((Held c) -> -c.rank)
             .thenComparingDouble(c -> c.arrived).thenComparingLong(c -> c.id));
     private boolean sweeping;
-    private double offeredRate;
-    private double offeredAt;
 
     /** One call that this front owes an answer. */
     private static final class Held {
@@ -115,12 +119,18 @@
         double variance;
         int samples;
         double toldUntil = Double.NEGATIVE_INFINITY;
+        double noLineUntil = Double.NEGATIVE_INFINITY;
+        int notices;
         double answeredAt = Double.NEGATIVE_INFINITY;
         double sentAt = Double.NEGATIVE_INFINITY;
         double testedAt = Double.NEGATIVE_INFINITY;
         double pacedAt = Double.NEGATIVE_INFINITY;
         double tokens;
         double tokensAt;
+        double rate;
+        double rateAt;
+        double stood;
+        double weight;
         double perWaiting;
         final boolean[] stopped;
         final Map<Long, Double> unanswered = new LinkedHashMap<>();
@@ -198,8 +208,6 @@
 
     @Override
     public void offered(double now, Call call) {
-        offeredRate = offeredRate(now) + 1 / RATE_SPAN;
-        offeredAt = now;
         CallClass c = settings.classes().get(call.callClass());
         Held held = new Held(call, now, now + call.timeLeft() - margin,
                 call.redialled() ? now : now + aim(c));
@@ -338,17 +346,25 @@
         if (!sample) {
             return;
         }
+        s.notices = 0;
         s.lowest = Math.min(s.lowest, delay);
         double excess = delay - s.lowest;
         setEstimate(s, s.samples == 0 ? excess : wait(s, now) + FAST * (excess - wait(s, now)), now);
-        s.samples++;
+        if (s.samples++ == 0) {
+            s.rateAt = now;
+        }
         if (warmth(s, now) >= 1) {
             // What is ordinary is learnt from waits up to the first onset: pressure must not become ordinary.
             double x = Math.min(excess, onset(s, 0));
             double w = Math.max(SLOW, 1.0 / s.samples);
             s.variance += w * ((x - s.mean) * (x - s.mean) - s.variance);
             s.mean += w * (x - s.mean);
+            // A rate over the span, or over the time since the first answer while that is shorter.
+            s.weight = s.weight * Math.exp(-(now - s.rateAt) / RATE_SPAN) + (now - s.rateAt);
+            s.stood = s.stood * Math.exp(-(now - s.rateAt) / RATE_SPAN) + 1;
+            s.rate = s.stood / Math.max(testGap(), s.weight);
         }
+        s.rateAt = now;
     }
 
     private void setEstimate(Core s, double value, double now) {
@@ -376,10 +392,18 @@
                 readReport(s, e.report(), now);
             }
             case FULL -> {
-                answered(s, e.call(), e.delay(), now, false);
+                s.unanswered.remove(e.call());
+                s.answeredAt = now;
+                if (e.reason() == Reason.NO_LINE) {
+                    s.noLineUntil = now + testGap();
+                }
                 if (e.reason() == Reason.PROCESSOR_FULL || e.reason() == Reason.BEYOND_FULL) {
                     // A notice: every rank but the top stops until abatement; a told wait stops all.
-                    setEstimate(s, Math.max(wait(s, now), discard(s, worths.length - 1)), now);
+                    // Guards against a server that turns all away at once: notices in a row, with nothing
+                    // standing between them, close it the longer, so that its quick answers draw no calls.
+                    s.notices++;
+                    double closed = room * (1 + Math.min(s.notices, 2 * DOWN_AFTER));
+                    setEstimate(s, Math.max(wait(s, now), closed), now);
                     s.toldUntil = Math.max(s.toldUntil, now + e.toldWait().orElse(0));
                 }
             }
@@ -437,7 +461,8 @@
                 s.stopped[r] = false;
             }
         }
-        return !s.stopped[rank] && now >= s.toldUntil;
+        boolean clocked = s.stopped[0] && s.unanswered.size() >= PRESSED_WINDOW;
+        return !s.stopped[rank] && !clocked && now >= s.toldUntil && now >= s.noLineUntil;
     }
 
     /** A call's rank: the place of the worth that it can still earn; after its aim that is its late worth. */
@@ -560,19 +585,29 @@
             if (s != null) {
                 queue.remove(held);
                 send(held, s, now);
-                s.pacedAt = now + paceGap();
+                s.pacedAt = now + paceGap(s);
             } else if (!worthHolding(held, usable, now)) {
                 refuse(held, now);
             }
         }
     }
 
-    private double paceGap() {
-        return Math.min(room, Math.max(1, servers.size()) / (PACE * Math.max(offeredRate, 1e-6)));
+    private double paceGap(Core s) {
+        return Math.min(room, 1 / (PACE * reference(s)));
     }
 
-    private double offeredRate(double now) {
-        return offeredRate * Math.exp(-(now - offeredAt) / RATE_SPAN);
+    /** Set-ups a ms that stand at this server by this front in ordinary times; else the others' mean. */
+    private double reference(Core s) {
+        double sum = 0;
+        int known = 0;
+        for (Core o : servers.values()) {
+            if (o.samples >= KNOWN) {
+                sum += o.rate;
+                known++;
+            }
+        }
+        double rate = s.samples >= KNOWN ? s.rate : known > 0 ? sum / known : 0;
+        return Math.max(rate, 1 / testGap());
     }
 
     private void send(Held held, Core s, double now) {
@@ -590,15 +625,24 @@
     /** Guards a call against a server gone silent: with no answer of any kind since it was sent, it moves. */
     private void watch(Held held, double now) {
         Core s = held.out;
-        double patience = (s.samples > 0 ? s.lowest : 0) + room;
+        double patience = (s.samples > 0 ? s.lowest : 0) + room + 2 * s.estimate;
         boolean silent = s.answeredAt < held.sentAt && now - held.sentAt > patience;
         boolean timeToMove = now + guard + room < held.deadline && held.attempts < maxAttempts;
-        if (mayCancel && silent && timeToMove && !held.cancelling && usable(held).size() > 1) {
+        if (mayCancel && silent && timeToMove && !held.cancelling && elsewhere(held, now)) {
             held.cancelling = true;
             act.cancel(held.id, held.attempts - 1);
         }
     }
 
+    private boolean elsewhere(Held held, double now) {
+        for (Core s : usable(held)) {
+            if (s != held.out && !s.down && open(s, held.rank, now)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** A server starts cold: it gets this front's share of what it can do, and no more, until it is warm. */
     private void startCold(Core s, double since, double now) {
         s.startedAt = since;
@@ -606,6 +650,7 @@
         s.badEndings = 0;
         s.tokens = 0;
         s.tokensAt = now;
+        s.rateAt = now;
         s.unanswered.clear();
         setEstimate(s, s.mean, now);
     }
@@ -622,7 +667,7 @@
         if (warmth >= 1) {
             return true;
         }
-        double rate = warmth * offeredRate(now) / Math.max(1, servers.size());
+        double rate = warmth * BUDGET_SHARE * settings.tipMultiple().orElse(1) * reference(s);
         s.tokens = Math.min(1.5, s.tokens + rate * (now - s.tokensAt));
         s.tokensAt = now;
         return s.tokens >= 1;
