Busy numbers refused at once; tests only where the server is down or turns all away

Refusing busy numbers should also cover a number that is out of order; it may refuse a caller whose line came free within the last second.

--- a/src/main/java/damsonseam/Decide.java
+++ b/src/main/java/damsonseam/Decide.java
@@ -49,6 +49,8 @@
     private static final double RATE_SPAN = 10_000.0;
     /** Longest time taken for a caller's patience or an aim where the settings give none. */
     private static final double UNSET_AIM = 1_000.0;
+    /** Busy numbers remembered: the memory's bound, far above the numbers that are hot at one time. */
+    private static final int MOST_NUMBERS = 1_000;
     /** The timer of the sweep; there is no other. */
     private static final long SWEEP_TOKEN = 1;
 
@@ -73,6 +75,15 @@
     private final Map<Long, Held> calls = new LinkedHashMap<>();
     private final TreeSet<Held> queue = new TreeSet<>(Comparator.comparingInt((Held c) -> -c.rank)
             .thenComparingDouble(c -> c.arrived).thenComparingLong(c -> c.id));
+    /** Numbers lately found busy, the oldest first, and until when they are taken to be. */
+    private final Map<String, Double> busyNumbers = new LinkedHashMap<>(16, 0.75f, false) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Double> eldest) {
+            return size() > MOST_NUMBERS;
+        }
+    };
     private boolean sweeping;
 
     /** One call that this front owes an answer. */
@@ -80,6 +91,7 @@
         final long id;
         final int callClass;
         final int firstChoice;
+        final String number;
         final double arrived;
         final double deadline;
         final double aimBy;
@@ -96,6 +108,7 @@
         Held(Call call, double now, double deadline, double aimBy) {
             id = call.id();
             callClass = call.callClass();
+            number = call.number();
             firstChoice = call.firstChoice();
             inTransit = call.inTransit();
             arrived = now;
@@ -135,6 +148,10 @@
         final boolean[] stopped;
         final Map<Long, Double> unanswered = new LinkedHashMap<>();
 
+        double lowestOr0() {
+            return samples > 0 ? lowest : 0;
+        }
+
         Core(String id, int ranks) {
             this.id = id;
             stopped = new boolean[ranks];
@@ -209,6 +226,10 @@
     @Override
     public void offered(double now, Call call) {
         CallClass c = settings.classes().get(call.callClass());
+        if (numberBusy(call.number(), now)) {
+            act.refuse(call.id(), returnAdvice());
+            return;
+        }
         Held held = new Held(call, now, now + call.timeLeft() - margin,
                 call.redialled() ? now : now + aim(c));
         held.rank = rank(held, now);
@@ -240,6 +261,9 @@
             pump(now);
             return;
         }
+        if (e.reason() == Reason.NUMBER_BUSY) {
+            busyNumbers.merge(held.number, now + testGap(), Math::max);
+        }
         held.out = null;
         held.cancelling = false;
         held.avoid = s;
@@ -336,7 +360,7 @@
             return 0;
         }
         double oldest = s.unanswered.values().iterator().next();
-        return Math.max(0, now - oldest - (s.samples > 0 ? s.lowest : 0));
+        return Math.max(0, now - oldest - s.lowestOr0());
     }
 
     private void answered(Core s, long id, double delay, double now, boolean sample) {
@@ -497,7 +521,10 @@
         List<Core> open = new ArrayList<>();
         Core first = null;
         for (Core s : usable) {
-            if (!s.down && open(s, held.rank, now) && mayPush(s, now) && !(held.moved && now < s.pacedAt)) {
+            boolean inTime = now + s.lowestOr0() + wait(s, now) < held.deadline;
+            boolean turn = !held.moved || now >= s.pacedAt;
+            boolean open = !s.down && open(s, held.rank, now);
+            if (open && inTime && turn && mayPush(s, now)) {
                 if (s.number == held.firstChoice && s != held.avoid) {
                     first = s;
                 }
@@ -518,11 +545,14 @@
         return two.unanswered.size() < one.unanswered.size() ? two : one;
     }
 
-    /** While all are stopped, one set-up now and then goes to a stopped server that owes no answer. */
+    /**
+     * While none is open, one set-up now and then tests a server that is down or turns all away. A server that
+     * is only pressed needs no test of its own: its estimate falls back until it is open for one set-up.
+     */
     private Core test(Held held, List<Core> usable, double now) {
         for (Core s : usable) {
             boolean due = now >= Math.max(s.sentAt, s.testedAt) + testGap() && now >= s.toldUntil;
-            boolean bySetUp = !s.down || !mayProbe;
+            boolean bySetUp = s.down ? !mayProbe : s.notices >= DOWN_AFTER;
             if (due && bySetUp && s.unanswered.isEmpty() && s != held.avoid && mayPush(s, now)) {
                 s.testedAt = now;
                 return s;
@@ -573,9 +603,12 @@
     private void refuse(Held held, double now) {
         queue.remove(held);
         calls.remove(held.id);
-        // Redials are spread, or they come back in step.
-        double most = settings.maxReturnAdvice().orElse(0);
-        act.refuse(held.id, most > 0 ? most * (0.5 + 0.5 * random.nextDouble()) : 0);
+        act.refuse(held.id, returnAdvice());
+    }
+
+    /** Redials are spread, or they come back in step. */
+    private double returnAdvice() {
+        return settings.maxReturnAdvice().orElse(0) * (0.5 + 0.5 * random.nextDouble());
     }
 
     private void pump(double now) {
@@ -625,7 +658,7 @@
     /** Guards a call against a server gone silent: with no answer of any kind since it was sent, it moves. */
     private void watch(Held held, double now) {
         Core s = held.out;
-        double patience = (s.samples > 0 ? s.lowest : 0) + room + 2 * s.estimate;
+        double patience = s.lowestOr0() + room + 2 * s.estimate;
         boolean silent = s.answeredAt < held.sentAt && now - held.sentAt > patience;
         boolean timeToMove = now + guard + room < held.deadline && held.attempts < maxAttempts;
         if (mayCancel && silent && timeToMove && !held.cancelling && elsewhere(held, now)) {
@@ -634,6 +667,15 @@
         }
     }
 
+    /** Guards against many calls for one number: while its lines are busy, each set-up for it is wasted. */
+    private boolean numberBusy(String number, double now) {
+        Double until = busyNumbers.get(number);
+        if (until != null && now >= until) {
+            busyNumbers.remove(number);
+        }
+        return until != null && now < until;
+    }
+
     private boolean elsewhere(Held held, double now) {
         for (Core s : usable(held)) {
             if (s != held.out && !s.down && open(s, held.rank, now)) {
--- a/src/main/java/damsonseam/Front.java
+++ b/src/main/java/damsonseam/Front.java
@@ -53,7 +53,7 @@
     record ServerEntry(String id, int number, OptionalDouble startedAt, State state) { }
 
     /** A call handed to this front. {@code timeLeft} runs until the caller gives this try up. */
-    record Call(long id, int callClass, int firstChoice, double timeLeft, boolean redialled,
+    record Call(long id, String number, int callClass, int firstChoice, double timeLeft, boolean redialled,
             boolean inTransit) { }
 
     /** The end of an attempt. With {@code last} the call is over, else the front still owes its answer. */
--- a/src/main/java/damsonseam/adapter/Wire.java
+++ b/src/main/java/damsonseam/adapter/Wire.java
@@ -203,7 +203,7 @@
         Front front = instance(line).front();
         long id = line.whole("the call");
         line.optional("the tenant");
-        line.word("the key");
+        String key = line.word("the key");
         line.optional("the circuits");
         line.optional("the work");
         int callClass = line.small("the class");
@@ -212,8 +212,8 @@
         int bits = line.small("the marks");
         OptionalDouble dest = line.optional("the destination");
         line.end();
-        front.offered(now, new Call(id, callClass, (int) dest.orElse(-1), timeLeft, (bits & REDIALLED) != 0,
-                (bits & IN_TRANSIT) != 0));
+        front.offered(now, new Call(id, key, callClass, (int) dest.orElse(-1), timeLeft,
+                (bits & REDIALLED) != 0, (bits & IN_TRANSIT) != 0));
     }
 
     private void result(Line line) {
