Set-ups that were overtaken count as lost; a silence is tested by one more set-up

Covers lost answers too; may do harm where a server answers out of order by more than the shortest delay seen.

--- a/src/main/java/damsonseam/Decide.java
+++ b/src/main/java/damsonseam/Decide.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -35,6 +36,8 @@
     private static final double FALLBACK = 1.0;
     /** Set-ups that a front may have unanswered at a pressed server: each answer then lets one more go. */
     private static final int PRESSED_WINDOW = 1;
+    /** Further set-ups sent into a silence before it counts as a stop for all. */
+    private static final int SILENCE_TESTS = 2;
     /** Share of the cold budget used: the rest covers uneven fronts and chance. */
     private static final double BUDGET_SHARE = 0.5;
     /** Answers after which a server's own figures count as known. */
@@ -102,6 +105,7 @@
         Core out;
         double sentAt;
         boolean cancelling;
+        boolean lost;
         double notBefore;
         Core avoid;
 
@@ -266,6 +270,7 @@
         }
         held.out = null;
         held.cancelling = false;
+        held.lost = false;
         held.avoid = s;
         held.moved = true;
         if (e.result() == Result.TIMED_OUT || e.result() == Result.RESET || e.result() == Result.CANCELLED) {
@@ -349,9 +354,11 @@
 
     /** The wait that a set-up sent now would meet: the last figure falling back, or what silence proves. */
     private double wait(Core s, double now) {
-        double fallen = Math.max(Math.min(s.mean, s.estimate),
-                s.estimate - FALLBACK * (now - s.estimateAt));
-        return Math.max(fallen, silence(s, now));
+        return Math.max(fallen(s, now), silence(s, now));
+    }
+
+    private double fallen(Core s, double now) {
+        return Math.max(Math.min(s.mean, s.estimate), s.estimate - FALLBACK * (now - s.estimateAt));
     }
 
     /** Age of the oldest unanswered set-up above the way there: a lower bound of the wait. */
@@ -364,7 +371,7 @@
     }
 
     private void answered(Core s, long id, double delay, double now, boolean sample) {
-        s.unanswered.remove(id);
+        overtaken(s, s.unanswered.remove(id));
         s.answeredAt = now;
         revive(s, now);
         if (!sample) {
@@ -391,6 +398,28 @@
         s.rateAt = now;
     }
 
+    /**
+     * Guards against set-ups that get lost on the way: a processor has one line, so one still unanswered when
+     * a later one has been answered is not waiting there. It tells nothing of the wait and is tried again.
+     */
+    private void overtaken(Core s, Double sentAt) {
+        if (sentAt == null) {
+            return;
+        }
+        double before = sentAt - s.lowestOr0();
+        for (Iterator<Map.Entry<Long, Double>> it = s.unanswered.entrySet().iterator(); it.hasNext();) {
+            Map.Entry<Long, Double> earlier = it.next();
+            if (earlier.getValue() >= before) {
+                return;
+            }
+            Held lost = calls.get(earlier.getKey());
+            if (lost != null) {
+                lost.lost = true;
+            }
+            it.remove();
+        }
+    }
+
     private void setEstimate(Core s, double value, double now) {
         s.estimate = value;
         s.estimateAt = now;
@@ -485,8 +514,15 @@
                 s.stopped[r] = false;
             }
         }
-        boolean clocked = s.stopped[0] && s.unanswered.size() >= PRESSED_WINDOW;
-        return !s.stopped[rank] && !clocked && now >= s.toldUntil && now >= s.noLineUntil;
+        if (now < s.toldUntil || now < s.noLineUntil) {
+            return false;
+        }
+        if (s.stopped[0] && s.unanswered.size() >= PRESSED_WINDOW) {
+            // Only silence stops it: one or two more test whether the silent set-up was merely lost.
+            return fallen(s, now) < onset(s, 0) && s.unanswered.size() <= SILENCE_TESTS
+                    && now - s.sentAt > s.lowestOr0() + onset(s, 0);
+        }
+        return !s.stopped[rank];
     }
 
     /** A call's rank: the place of the worth that it can still earn; after its aim that is its late worth. */
@@ -523,8 +559,8 @@
         for (Core s : usable) {
             boolean inTime = now + s.lowestOr0() + wait(s, now) < held.deadline;
             boolean turn = !held.moved || now >= s.pacedAt;
-            boolean open = !s.down && open(s, held.rank, now);
-            if (open && inTime && turn && mayPush(s, now)) {
+            boolean takes = !s.down && open(s, held.rank, now);
+            if (takes && inTime && turn && mayPush(s, now)) {
                 if (s.number == held.firstChoice && s != held.avoid) {
                     first = s;
                 }
@@ -546,8 +582,8 @@
     }
 
     /**
-     * While none is open, one set-up now and then tests a server that is down or turns all away. A server that
-     * is only pressed needs no test of its own: its estimate falls back until it is open for one set-up.
+     * While none is open, one set-up now and then tests a server that is down or turns all away. One that is
+     * only pressed needs no test of its own: its estimate falls back until it is open for one set-up.
      */
     private Core test(Held held, List<Core> usable, double now) {
         for (Core s : usable) {
@@ -661,7 +697,8 @@
         double patience = s.lowestOr0() + room + 2 * s.estimate;
         boolean silent = s.answeredAt < held.sentAt && now - held.sentAt > patience;
         boolean timeToMove = now + guard + room < held.deadline && held.attempts < maxAttempts;
-        if (mayCancel && silent && timeToMove && !held.cancelling && elsewhere(held, now)) {
+        boolean move = held.lost || silent && elsewhere(held, now);
+        if (mayCancel && timeToMove && !held.cancelling && move) {
             held.cancelling = true;
             act.cancel(held.id, held.attempts - 1);
         }
