Cold budget restored by answers without a wait; servers that went are remembered

One unanswered set-up a front while a server is cold or unknown bounds what reaches it; harm: with very many fronts even one each may be much.

--- a/src/main/java/damsonseam/Decide.java
+++ b/src/main/java/damsonseam/Decide.java
@@ -34,7 +34,7 @@
     private static final double SLOW = 0.05;
     /** Fallback: the estimate falls so many ms a ms, as the wait does at a processor that is left alone. */
     private static final double FALLBACK = 1.0;
-    /** Set-ups that a front may have unanswered at a pressed server: each answer then lets one more go. */
+    /** Set-ups a front may have unanswered at a pressed, cold or unknown server: each answer lets one go. */
     private static final int PRESSED_WINDOW = 1;
     /** Further set-ups sent into a silence before it counts as a stop for all. */
     private static final int SILENCE_TESTS = 2;
@@ -54,6 +54,8 @@
     private static final double UNSET_AIM = 1_000.0;
     /** Busy numbers remembered: the memory's bound, far above the numbers that are hot at one time. */
     private static final int MOST_NUMBERS = 1_000;
+    /** Servers remembered before those that are gone are forgotten: one may return and is known then. */
+    private static final int MOST_SERVERS = 100;
     /** The timer of the sweep; there is no other. */
     private static final long SWEEP_TOKEN = 1;
 
@@ -152,10 +154,6 @@
         final boolean[] stopped;
         final Map<Long, Double> unanswered = new LinkedHashMap<>();
 
-        double lowestOr0() {
-            return samples > 0 ? lowest : 0;
-        }
-
         Core(String id, int ranks) {
             this.id = id;
             stopped = new boolean[ranks];
@@ -202,13 +200,9 @@
         if (full) {
             TreeSet<String> named = new TreeSet<>();
             entries.forEach(e -> named.add(e.id()));
-            servers.values().removeIf(s -> !named.contains(s.id));
+            servers.values().stream().filter(s -> !named.contains(s.id)).forEach(s -> s.state = State.GONE);
         }
         for (ServerEntry e : entries) {
-            if (e.state() == State.GONE) {
-                servers.remove(e.id());
-                continue;
-            }
             Core s = servers.computeIfAbsent(e.id(), id -> new Core(id, worths.length));
             s.number = e.number();
             s.state = e.state();
@@ -217,6 +211,9 @@
                 startCold(s, started, now);
             }
         }
+        if (servers.size() > MOST_SERVERS) {
+            servers.values().removeIf(s -> s.state == State.GONE);
+        }
         pump(now);
     }
 
@@ -367,7 +364,7 @@
             return 0;
         }
         double oldest = s.unanswered.values().iterator().next();
-        return Math.max(0, now - oldest - s.lowestOr0());
+        return Math.max(0, now - oldest - way(s));
     }
 
     private void answered(Core s, long id, double delay, double now, boolean sample) {
@@ -379,11 +376,15 @@
         }
         s.notices = 0;
         s.lowest = Math.min(s.lowest, delay);
-        double excess = delay - s.lowest;
+        double excess = delay - way(s);
         setEstimate(s, s.samples == 0 ? excess : wait(s, now) + FAST * (excess - wait(s, now)), now);
         if (s.samples++ == 0) {
             s.rateAt = now;
         }
+        if (wait(s, now) < onset(s, 0)) {
+            // An answer that came without a wait shows that a cold server bears what it gets.
+            s.tokens++;
+        }
         if (warmth(s, now) >= 1) {
             // What is ordinary is learnt from waits up to the first onset: pressure must not become ordinary.
             double x = Math.min(excess, onset(s, 0));
@@ -406,7 +407,7 @@
         if (sentAt == null) {
             return;
         }
-        double before = sentAt - s.lowestOr0();
+        double before = sentAt - way(s);
         for (Iterator<Map.Entry<Long, Double>> it = s.unanswered.entrySet().iterator(); it.hasNext();) {
             Map.Entry<Long, Double> earlier = it.next();
             if (earlier.getValue() >= before) {
@@ -420,6 +421,16 @@
         }
     }
 
+    /** The time a set-up takes without a wait; a server never seen unpressed is held to the best one's. */
+    private double way(Core s) {
+        double best = Double.POSITIVE_INFINITY;
+        for (Core o : servers.values()) {
+            best = Math.min(best, o.lowest);
+        }
+        double way = Math.min(s.lowest, best + ONSET_MOST * room);
+        return way == Double.POSITIVE_INFINITY ? 0 : way;
+    }
+
     private void setEstimate(Core s, double value, double now) {
         s.estimate = value;
         s.estimateAt = now;
@@ -517,10 +528,11 @@
         if (now < s.toldUntil || now < s.noLineUntil) {
             return false;
         }
-        if (s.stopped[0] && s.unanswered.size() >= PRESSED_WINDOW) {
+        boolean careful = s.stopped[0] || s.samples < KNOWN || warmth(s, now) < 1;
+        if (careful && s.unanswered.size() >= PRESSED_WINDOW) {
             // Only silence stops it: one or two more test whether the silent set-up was merely lost.
             return fallen(s, now) < onset(s, 0) && s.unanswered.size() <= SILENCE_TESTS
-                    && now - s.sentAt > s.lowestOr0() + onset(s, 0);
+                    && now - s.sentAt > way(s) + onset(s, 0);
         }
         return !s.stopped[rank];
     }
@@ -557,7 +569,7 @@
         List<Core> open = new ArrayList<>();
         Core first = null;
         for (Core s : usable) {
-            boolean inTime = now + s.lowestOr0() + wait(s, now) < held.deadline;
+            boolean inTime = now + way(s) + wait(s, now) < held.deadline;
             boolean turn = !held.moved || now >= s.pacedAt;
             boolean takes = !s.down && open(s, held.rank, now);
             if (takes && inTime && turn && mayPush(s, now)) {
@@ -694,7 +706,7 @@
     /** Guards a call against a server gone silent: with no answer of any kind since it was sent, it moves. */
     private void watch(Held held, double now) {
         Core s = held.out;
-        double patience = s.lowestOr0() + room + 2 * s.estimate;
+        double patience = way(s) + room + 2 * s.estimate;
         boolean silent = s.answeredAt < held.sentAt && now - held.sentAt > patience;
         boolean timeToMove = now + guard + room < held.deadline && held.attempts < maxAttempts;
         boolean move = held.lost || silent && elsewhere(held, now);
@@ -740,7 +752,10 @@
         return age >= warmWithin ? 1 : coldFrom + (1 - coldFrom) * Math.max(0, age) / warmWithin;
     }
 
-    /** The cold budget: the rate this front gives an ordinary server, scaled by how warm this one is. */
+    /**
+     * The cold budget: the rate this front gives an ordinary server, scaled by how warm this one is, and one
+     * more for each answer without a wait. With one unanswered a front, no window fills far beyond capacity.
+     */
     private boolean mayPush(Core s, double now) {
         double warmth = warmth(s, now);
         if (warmth >= 1) {
