--- /dev/null
+++ b/src/test/java/damsonseam/DecideTest.java
@@ -0,0 +1,269 @@
+package damsonseam;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import damsonseam.Front.Reason;
+import damsonseam.Front.Result;
+import damsonseam.Front.State;
+import org.junit.jupiter.api.Test;
+
+/** The module through its interface, on a scripted clock. */
+class DecideTest {
+    private static final double QUICK = 20;
+
+    /** A front with two servers that have each answered long enough to be known. */
+    private static Script known() {
+        Script s = new Script(Script.settings().build()).servers("a", "b");
+        for (int i = 0; i < 20; i++) {
+            s.standing(0, QUICK);
+            s.standing(1, QUICK);
+            s.run(200);
+        }
+        return s;
+    }
+
+    @Test
+    void aCallGoesToItsFirstChoiceWhileThatIsOpen() {
+        Script s = known();
+        assertEquals("a", s.sentTo(s.offer(0, 0)));
+        assertEquals("b", s.sentTo(s.offer(0, 1)));
+    }
+
+    @Test
+    void aSilentServerIsTestedOnceAndItsCallsGoElsewhere() {
+        Script s = known();
+        s.offer(0, 0);
+        s.run(400);
+        assertEquals("a", s.sentTo(s.offer(0, 0)));
+        s.run(20);
+        assertEquals("b", s.sentTo(s.offer(0, 0)));
+    }
+
+    @Test
+    void aLongDelayStopsLowerRanksFirst() {
+        Script s = known();
+        s.wait("a", 330);
+        s.wait("b", 330);
+        assertFalse(s.isOut(s.offer(0, 0)));
+        assertTrue(s.isOut(s.offer(1, 0)));
+    }
+
+    @Test
+    void aStoppedServerOpensAgainAtAbatement() {
+        Script s = known();
+        s.wait("a", 600);
+        assertEquals("b", s.sentTo(s.offer(0, 0)));
+        s.stand(s.lastCall(), QUICK);
+        s.run(1500);
+        assertEquals("a", s.sentTo(s.offer(0, 0)));
+    }
+
+    @Test
+    void pastDiscardEverywhereACallIsRefusedAtOnce() {
+        Script s = known();
+        s.wait("a", 3000);
+        s.wait("b", 3000);
+        assertTrue(s.isRefused(s.offer(0, 0)));
+    }
+
+    @Test
+    void betweenOnsetAndDiscardACallIsHeldAndThenSent() {
+        Script s = known();
+        s.wait("a", 300);
+        s.wait("b", 300);
+        long held = s.offer(0, 0);
+        assertFalse(s.isOut(held) || s.isRefused(held));
+        s.run(600);
+        assertTrue(s.isOut(held));
+    }
+
+    @Test
+    void heldCallsOfHigherWorthGoFirst() {
+        Script s = known();
+        s.full("a");
+        s.full("b");
+        long cheap = s.offer(0, 0);
+        long dear = s.offer(1, 0);
+        s.run(3000);
+        assertTrue(s.sentAt(dear) <= s.sentAt(cheap) || s.isRefused(cheap));
+    }
+
+    @Test
+    void aPressedServerHasOneUnansweredSetUp() {
+        Script s = known();
+        s.wait("a", 330);
+        s.wait("b", 330);
+        s.offer(1, 0);
+        s.offer(1, 0);
+        s.offer(1, 0);
+        s.offer(1, 0);
+        assertTrue(s.out("a") <= 1 && s.out("b") <= 1);
+    }
+
+    @Test
+    void aFullServerIsNotTriedAgainAtOnceByTheSameCall() {
+        Script s = known();
+        long call = s.offer(0, 0);
+        s.end(call, Result.FULL, Reason.PROCESSOR_FULL);
+        assertEquals("b", s.sentTo(call));
+        assertEquals(2, s.sends(call));
+    }
+
+    @Test
+    void aToldWaitIsHonoured() {
+        Script s = known();
+        s.endTold(s.offer(1, 0), 5000);
+        s.stand(s.lastCall(), QUICK);
+        s.run(3000);
+        assertEquals("b", s.sentTo(s.offer(1, 0)));
+    }
+
+    @Test
+    void theReleaseIsAwaitedAfterAReset() {
+        Script s = known();
+        long call = s.offer(0, 0);
+        s.end(call, Result.RESET, Reason.NONE);
+        assertEquals(1, s.sends(call));
+        s.run(295);
+        assertEquals(1, s.sends(call));
+        s.run(100);
+        assertEquals(2, s.sends(call));
+    }
+
+    @Test
+    void aCallNeverHasTwoAttemptsOut() {
+        Script s = known();
+        for (int i = 0; i < 200; i++) {
+            s.offer(i % 2, i % 2);
+            s.run(37);
+        }
+        s.run(10_000);
+        assertTrue(s.mostOutPerCall() <= 1);
+        assertTrue(s.overdue().isEmpty(), () -> "unanswered: " + s.overdue());
+    }
+
+    @Test
+    void everyCallIsAnsweredInTimeThoughNoServerEverAnswers() {
+        Script s = new Script(Script.settings().build()).servers("a", "b");
+        for (int i = 0; i < 100; i++) {
+            s.offer(i % 2, i % 2);
+            s.run(50);
+        }
+        s.run(5_000);
+        assertTrue(s.overdue().isEmpty(), () -> "unanswered: " + s.overdue());
+    }
+
+    @Test
+    void withoutServersACallIsRefusedAtOnce() {
+        Script s = new Script(Script.settings().build());
+        assertTrue(s.isRefused(s.offer(0, 0)));
+    }
+
+    @Test
+    void nothingGoesToADrainingOrLeftServer() {
+        Script s = known();
+        s.news("a", State.DRAINING);
+        assertEquals("b", s.sentTo(s.offer(0, 0)));
+        s.stand(s.lastCall(), QUICK);
+        s.news("b", State.GONE);
+        assertTrue(s.isRefused(s.offer(0, 1)));
+    }
+
+    @Test
+    void aColdServerGetsOneUnansweredAtATime() {
+        Script s = known();
+        s.started("a");
+        for (int i = 0; i < 10; i++) {
+            s.offer(1, 0);
+            s.run(20);
+            assertTrue(s.out("a") <= 1);
+        }
+    }
+
+    @Test
+    void aServerThatDiedIsLeftBeforeTheListTells() {
+        Script s = known();
+        s.end(s.offer(0, 0), Result.UNREACHABLE, Reason.NONE);
+        s.end(s.offer(0, 0), Result.UNREACHABLE, Reason.NONE);
+        assertEquals("b", s.sentTo(s.offer(0, 0)));
+    }
+
+    @Test
+    void aServerFoundAliveAgainIsTreatedAsCold() {
+        Script s = known();
+        for (int i = 0; i < 3; i++) {
+            s.end(s.offer(0, 0), Result.UNREACHABLE, Reason.NONE);
+        }
+        s.run(1500);
+        s.probeAnswer("a");
+        for (int i = 0; i < 10; i++) {
+            s.offer(1, 0);
+        }
+        assertTrue(s.out("a") <= 1);
+    }
+
+    @Test
+    void anOvertakenSetUpIsLostAndTriedAgain() {
+        Script s = known();
+        long lost = s.offer(0, 0);
+        s.run(60);
+        s.stand(s.offer(0, 0), QUICK);
+        s.run(40);
+        assertTrue(s.isCancelled(lost));
+        assertEquals("a", s.sentTo(s.offer(0, 0)));
+    }
+
+    @Test
+    void aBusyNumberIsRefusedForAWhile() {
+        Script s = known();
+        s.end(s.offerTo("7", 0), Result.ERROR, Reason.NUMBER_BUSY);
+        assertTrue(s.isRefused(s.offerTo("7", 0)));
+        assertFalse(s.isRefused(s.offerTo("8", 0)));
+        s.run(3000);
+        assertFalse(s.isRefused(s.offerTo("7", 0)));
+    }
+
+    @Test
+    void attemptsAreCapped() {
+        Script s = known();
+        long call = s.offer(0, 0);
+        for (int i = 0; i < 3; i++) {
+            s.end(call, Result.NOT_SENT, Reason.NONE);
+            s.run(100);
+        }
+        assertTrue(s.sends(call) <= 3);
+        assertTrue(s.isFailed(call));
+    }
+
+    @Test
+    void theSameEventsGiveTheSameActions() {
+        assertEquals(busyDay(1).log(), busyDay(1).log());
+        assertNotEquals("", busyDay(1).log());
+    }
+
+    @Test
+    void absentSettingsAreSane() {
+        Script s = new Script(Script.settings().absent()).servers("a");
+        for (int i = 0; i < 50; i++) {
+            s.offer(0, 0);
+            s.run(100);
+        }
+        s.run(5_000);
+        assertTrue(s.overdue().isEmpty());
+    }
+
+    private static Script busyDay(int seed) {
+        Script s = new Script(Script.settings().seed(seed)).servers("a", "b", "c");
+        for (int i = 0; i < 300; i++) {
+            long call = s.offer(i % 2, i % 3);
+            if (i % 4 != 0 && s.isOut(call)) {
+                s.stand(call, 30 + i % 50);
+            }
+            s.run(11);
+        }
+        return s;
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonseam/Script.java
@@ -0,0 +1,299 @@
+package damsonseam;
+
+import damsonseam.Front.Actions;
+import damsonseam.Front.Call;
+import damsonseam.Front.CallClass;
+import damsonseam.Front.Ending;
+import damsonseam.Front.Reason;
+import damsonseam.Front.Report;
+import damsonseam.Front.Result;
+import damsonseam.Front.ServerEntry;
+import damsonseam.Front.Settings;
+import damsonseam.Front.State;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalInt;
+import java.util.PriorityQueue;
+
+/** Drives one module on a scripted clock and records its actions. Attempts end at their abandon time. */
+final class Script implements Actions {
+    private static final double TRY = 3000;
+
+    private final Front front;
+    private final StringBuilder log = new StringBuilder();
+    private final Map<Long, Attempt> out = new LinkedHashMap<>();
+    private final Map<Long, Double> owed = new LinkedHashMap<>();
+    private final Map<Long, List<Attempt>> sent = new HashMap<>();
+    private final Map<Long, String> answers = new HashMap<>();
+    private final Map<Long, Boolean> cancelled = new HashMap<>();
+    private final List<Long> late = new ArrayList<>();
+    private final Map<String, Integer> numbers = new HashMap<>();
+    private final PriorityQueue<double[]> timers = new PriorityQueue<>((x, y) -> Double.compare(x[0], y[0]));
+    private double now = 1000;
+    private long nextCall = 1;
+    private int mostOut;
+
+    private record Attempt(String server, double at, double abandonAt, int number) { }
+
+    Script(Settings settings) {
+        front = new Decide(settings, this);
+    }
+
+    /** Settings of a front of four, with two classes of worth 1 and 5. */
+    static Builder settings() {
+        return new Builder();
+    }
+
+    /** Builds settings for a script. */
+    static final class Builder {
+        Settings build() {
+            return seed(5);
+        }
+
+        Settings seed(long seed) {
+            return new Settings(seed, OptionalInt.of(4), List.of(callClass(1), callClass(5)), OptionalInt.of(-1),
+                    OptionalInt.of(3), Optional.of(true), Optional.of(true), Optional.of(false),
+                    Optional.of(false), of(5), of(20), of(500), of(0.35), of(14_000), of(3), of(1000), of(300),
+                    of(500), of(2000));
+        }
+
+        Settings absent() {
+            OptionalDouble no = OptionalDouble.empty();
+            CallClass bare = new CallClass(no, no, no, no, Optional.empty());
+            return new Settings(1, OptionalInt.empty(), List.of(bare), OptionalInt.empty(), OptionalInt.empty(),
+                    Optional.empty(), Optional.empty(), Optional.empty(), Optional.empty(), no, no, no, no, no, no,
+                    no, no, no, no);
+        }
+
+        private static CallClass callClass(double worth) {
+            return new CallClass(of(1200), of(9000), of(worth), of(0.25), Optional.empty());
+        }
+
+        private static OptionalDouble of(double value) {
+            return OptionalDouble.of(value);
+        }
+    }
+
+    Script servers(String... ids) {
+        List<ServerEntry> entries = new ArrayList<>();
+        for (String id : ids) {
+            numbers.put(id, numbers.size());
+            entries.add(new ServerEntry(id, numbers.get(id), OptionalDouble.empty(), State.RUNNING));
+        }
+        front.serverList(now, true, entries);
+        return this;
+    }
+
+    void news(String id, State state) {
+        front.serverList(now, false,
+                List.of(new ServerEntry(id, numbers.get(id), OptionalDouble.empty(), state)));
+    }
+
+    void started(String id) {
+        front.serverList(now, false,
+                List.of(new ServerEntry(id, numbers.get(id), OptionalDouble.of(now), State.RUNNING)));
+    }
+
+    long offer(int callClass, int firstChoice) {
+        return offer("n" + nextCall, callClass, firstChoice);
+    }
+
+    long offerTo(String number, int firstChoice) {
+        return offer(number, 0, firstChoice);
+    }
+
+    private long offer(String number, int callClass, int firstChoice) {
+        long id = nextCall++;
+        owed.put(id, now + TRY);
+        front.offered(now, new Call(id, number, callClass, firstChoice, TRY, false, false));
+        return id;
+    }
+
+    long lastCall() {
+        return nextCall - 1;
+    }
+
+    /** Offers a call and lets it stand after the delay. */
+    void standing(int firstChoice, double delay) {
+        long call = offer(0, firstChoice);
+        run(delay);
+        if (isOut(call)) {
+            stand(call, delay);
+        }
+    }
+
+    /** Lets a set-up to this server take {@code excess} longer than a quick one. */
+    void wait(String server, double excess) {
+        long call = offer(1, numbers.get(server));
+        if (!server.equals(sentTo(call))) {
+            throw new AssertionError("the call went to " + sentTo(call));
+        }
+        now += 1;
+        stand(call, 20 + 2 * excess);
+    }
+
+    void full(String server) {
+        long call = offer(1, numbers.get(server));
+        if (isOut(call) && server.equals(sentTo(call))) {
+            end(call, Result.FULL, Reason.PROCESSOR_FULL);
+        }
+        out.remove(call);
+        owed.remove(call);
+        front.left(now, call);
+    }
+
+    void stand(long call, double delay) {
+        Attempt a = out.remove(call);
+        owed.remove(call);
+        front.stands(now, call, a.server, a.number, delay);
+    }
+
+    void end(long call, Result result, Reason reason) {
+        end(call, result, reason, OptionalDouble.empty());
+    }
+
+    void endTold(long call, double told) {
+        end(call, Result.FULL, Reason.PROCESSOR_FULL, OptionalDouble.of(told));
+    }
+
+    private void end(long call, Result result, Reason reason, OptionalDouble told) {
+        Attempt a = out.remove(call);
+        if (a != null) {
+            front.ended(now, new Ending(call, a.server, a.number, now - a.at, result, reason, told, false,
+                    Report.NONE));
+        }
+    }
+
+    void probeAnswer(String server) {
+        front.probed(now, server, true, true, 20, Report.NONE);
+    }
+
+    /** Lets time pass: timers come due, attempts are abandoned, callers who got no answer are noted. */
+    void run(double span) {
+        double end = now + span;
+        while (now < end) {
+            now = Math.min(end, now + 5);
+            while (!timers.isEmpty() && timers.peek()[0] <= now) {
+                front.timer(now, (long) timers.poll()[1]);
+            }
+            for (Map.Entry<Long, Attempt> e : List.copyOf(out.entrySet())) {
+                if (cancelled.remove(e.getKey()) != null) {
+                    cancelledOnce.put(e.getKey(), true);
+                    end(e.getKey(), Result.CANCELLED, Reason.NONE);
+                } else if (e.getValue().abandonAt <= now) {
+                    end(e.getKey(), Result.TIMED_OUT, Reason.NONE);
+                }
+            }
+            owed.forEach((call, by) -> {
+                if (by < now && !late.contains(call)) {
+                    late.add(call);
+                }
+            });
+        }
+    }
+
+    private final Map<Long, Boolean> cancelledOnce = new HashMap<>();
+
+    boolean isCancelled(long call) {
+        return cancelled.containsKey(call) || cancelledOnce.containsKey(call);
+    }
+
+    boolean isOut(long call) {
+        return out.containsKey(call);
+    }
+
+    boolean isRefused(long call) {
+        return "refused".equals(answers.get(call));
+    }
+
+    boolean isFailed(long call) {
+        return "failed".equals(answers.get(call));
+    }
+
+    String sentTo(long call) {
+        List<Attempt> attempts = sent.getOrDefault(call, List.of());
+        return attempts.isEmpty() ? null : attempts.get(attempts.size() - 1).server;
+    }
+
+    double sentAt(long call) {
+        List<Attempt> attempts = sent.getOrDefault(call, List.of());
+        return attempts.isEmpty() ? Double.POSITIVE_INFINITY : attempts.get(0).at;
+    }
+
+    int sends(long call) {
+        return sent.getOrDefault(call, List.of()).size();
+    }
+
+    long out(String server) {
+        return out.values().stream().filter(a -> a.server.equals(server)).count();
+    }
+
+    int mostOutPerCall() {
+        return mostOut;
+    }
+
+    List<Long> overdue() {
+        return late;
+    }
+
+    String log() {
+        return log.toString();
+    }
+
+    @Override
+    public void send(long call, String server, double abandonAt) {
+        log.append(now).append(" send ").append(call).append(' ').append(server).append('\n');
+        List<Attempt> attempts = sent.computeIfAbsent(call, c -> new ArrayList<>());
+        Attempt a = new Attempt(server, now, abandonAt, attempts.size());
+        attempts.add(a);
+        mostOut = Math.max(mostOut, out.put(call, a) == null ? 1 : 2);
+    }
+
+    @Override
+    public void refuse(long call, double returnAfter) {
+        answer(call, "refused");
+    }
+
+    @Override
+    public void fail(long call) {
+        answer(call, "failed");
+    }
+
+    private void answer(long call, String how) {
+        if (answers.put(call, how) != null) {
+            throw new AssertionError("two answers for call " + call);
+        }
+        owed.remove(call);
+        log.append(now).append(' ').append(how).append(' ').append(call).append('\n');
+    }
+
+    @Override
+    public void cancel(long call, int attempt) {
+        cancelled.put(call, true);
+    }
+
+    @Override
+    public void timer(double after, long token) {
+        timers.add(new double[] {now + after, token});
+    }
+
+    @Override
+    public void probe(String server) {
+        log.append(now).append(" probe ").append(server).append('\n');
+    }
+
+    @Override
+    public void fetchList() {
+        log.append("fetch\n");
+    }
+
+    @Override
+    public void followList() {
+        log.append("follow\n");
+    }
+}
