A set-up given up unanswered leaves its age as the estimate; hand-over paced by the onset level

Held calls also waited 2 s beside servers that had had few calls, as the pace came from their thin ordinary rate alone. The estimate should also cover servers that hang; harm: a lost set-up that nothing overtakes keeps a healthy server closed for its age.

--- a/src/main/java/damsonseam/Decide.java
+++ b/src/main/java/damsonseam/Decide.java
@@ -472,6 +472,10 @@
                 }
             }
             case TIMED_OUT, CANCELLED -> {
+                if (wasOut && !calls.get(e.call()).lost) {
+                    // What the silence had proved stays true when its set-up is given up.
+                    setEstimate(s, Math.max(wait(s, now), e.delay() - way(s)), now);
+                }
                 if (wasOut && s.answeredAt < now - Math.max(e.delay(), room)) {
                     badEnding(s, now);
                 }
@@ -685,7 +689,7 @@
     }
 
     private double paceGap(Core s) {
-        return Math.min(room, 1 / (PACE * reference(s)));
+        return Math.min(onset(s, 0), 1 / (PACE * reference(s)));
     }
 
     /** Set-ups a ms that stand at this server by this front in ordinary times; else the others' mean. */
--- a/src/test/java/damsonseam/DecideTest.java
+++ b/src/test/java/damsonseam/DecideTest.java
@@ -216,6 +216,52 @@
         assertEquals("a", s.sentTo(s.offer(0, 0)));
     }
 
+    @Test
+    void whatASilenceProvedStaysTrueWhenTheSetUpIsGivenUp() {
+        Script s = known();
+        long call = s.offer(1, 0);
+        s.run(900);
+        s.end(call, Result.TIMED_OUT, Reason.NONE);
+        assertEquals("b", s.sentTo(s.offer(0, 0)));
+    }
+
+    @Test
+    void aHeldCallLosesItsRankOnceItCannotBeInTime() {
+        Script s = known();
+        s.wait("a", 400);
+        s.wait("b", 400);
+        long old = s.offer(0, 0);
+        s.offer(1, 0);
+        s.offer(1, 1);
+        s.run(1200);
+        long fresh = s.offer(0, 1);
+        s.run(1500);
+        assertTrue(s.sentAt(fresh) < s.sentAt(old), s.sentAt(fresh) + " " + s.sentAt(old));
+    }
+
+    @Test
+    void aNewServerIsTriedByOneSetUpAtATime() {
+        Script s = known().servers("a", "b", "c");
+        for (int i = 0; i < 6; i++) {
+            s.offer(1, 2);
+        }
+        assertEquals(1, s.out("c"));
+    }
+
+    @Test
+    void aServerThatTurnsAllAwayDrawsNoCalls() {
+        Script s = known();
+        for (int i = 0; i < 4; i++) {
+            long call = s.offer(0, 0);
+            if ("a".equals(s.sentTo(call))) {
+                s.end(call, Result.FULL, Reason.PROCESSOR_FULL);
+            }
+            s.stand(call, QUICK);
+            s.run(500);
+        }
+        assertEquals("b", s.sentTo(s.offer(0, 0)));
+    }
+
     @Test
     void aBusyNumberIsRefusedForAWhile() {
         Script s = known();
--- a/src/test/java/damsonseam/Script.java
+++ b/src/test/java/damsonseam/Script.java
@@ -82,7 +82,7 @@
     Script servers(String... ids) {
         List<ServerEntry> entries = new ArrayList<>();
         for (String id : ids) {
-            numbers.put(id, numbers.size());
+            numbers.putIfAbsent(id, numbers.size());
             entries.add(new ServerEntry(id, numbers.get(id), OptionalDouble.empty(), State.RUNNING));
         }
         front.serverList(now, true, entries);
