--- a/src/main/java/damsonseam/Decide.java
+++ b/src/main/java/damsonseam/Decide.java
@@ -150,6 +150,7 @@
         double rateAt;
         double stood;
         double weight;
+        double waiting;
         double perWaiting;
         final boolean[] stopped;
         final Map<Long, Double> unanswered = new LinkedHashMap<>();
@@ -375,6 +376,10 @@
             return;
         }
         s.notices = 0;
+        if (s.waiting >= 1) {
+            double each = (delay - way(s)) / s.waiting;
+            s.perWaiting += (s.perWaiting > 0 ? SLOW : 1) * (each - s.perWaiting);
+        }
         s.lowest = Math.min(s.lowest, delay);
         double excess = delay - way(s);
         setEstimate(s, s.samples == 0 ? excess : wait(s, now) + FAST * (excess - wait(s, now)), now);
@@ -437,11 +442,12 @@
     }
 
     private void readReport(Core s, Report report, double now) {
-        double waiting = report.waiting().orElse(-1);
+        s.waiting = report.waiting().orElse(0);
         if (report.processorWait().isPresent() && report.processorWait().getAsDouble() >= 0) {
             setEstimate(s, wait(s, now) + FAST * (report.processorWait().getAsDouble() - wait(s, now)), now);
-        } else if (waiting > 0 && s.perWaiting > 0) {
-            setEstimate(s, wait(s, now) + FAST * (waiting * s.perWaiting - wait(s, now)), now);
+        } else if (report.waiting().isPresent() && s.perWaiting > 0) {
+            double reported = s.waiting * s.perWaiting;
+            setEstimate(s, fallen(s, now) + FAST * (reported - fallen(s, now)), now);
         }
     }
 
