--- a/src/main/java/damsonseam/Decide.java
+++ b/src/main/java/damsonseam/Decide.java
@@ -376,7 +376,7 @@
             return;
         }
         s.notices = 0;
-        if (s.waiting >= 1) {
+        if (s.waiting >= 1 && warmth(s, now) >= 1) {
             double each = (delay - way(s)) / s.waiting;
             s.perWaiting += (s.perWaiting > 0 ? SLOW : 1) * (each - s.perWaiting);
         }
@@ -445,9 +445,11 @@
         s.waiting = report.waiting().orElse(0);
         if (report.processorWait().isPresent() && report.processorWait().getAsDouble() >= 0) {
             setEstimate(s, wait(s, now) + FAST * (report.processorWait().getAsDouble() - wait(s, now)), now);
-        } else if (report.waiting().isPresent() && s.perWaiting > 0) {
-            double reported = s.waiting * s.perWaiting;
-            setEstimate(s, fallen(s, now) + FAST * (reported - fallen(s, now)), now);
+        } else if (report.waiting().isPresent() && s.perWaiting > 0 && warmth(s, now) >= 1) {
+            // Late news may say that a line is short which is filling: it only ever raises the estimate, and
+            // that of warm servers, as the same line means another wait at a cold one.
+            double more = s.waiting * s.perWaiting - fallen(s, now);
+            setEstimate(s, fallen(s, now) + FAST * Math.max(0, more), now);
         }
     }
 
