--- a/src/main/java/damsonseam/Decide.java
+++ b/src/main/java/damsonseam/Decide.java
@@ -150,8 +150,6 @@
         double rateAt;
         double stood;
         double weight;
-        double waiting;
-        double perWaiting;
         final boolean[] stopped;
         final Map<Long, Double> unanswered = new LinkedHashMap<>();
 
@@ -376,10 +374,6 @@
             return;
         }
         s.notices = 0;
-        if (s.waiting >= 1 && warmth(s, now) >= 1) {
-            double each = (delay - way(s)) / s.waiting;
-            s.perWaiting += (s.perWaiting > 0 ? SLOW : 1) * (each - s.perWaiting);
-        }
         s.lowest = Math.min(s.lowest, delay);
         double excess = delay - way(s);
         setEstimate(s, s.samples == 0 ? excess : wait(s, now) + FAST * (excess - wait(s, now)), now);
@@ -441,15 +435,11 @@
         s.estimateAt = now;
     }
 
+    /** A reported wait comes late, and may miss a line that is filling: it only ever raises the estimate. */
     private void readReport(Core s, Report report, double now) {
-        s.waiting = report.waiting().orElse(0);
-        if (report.processorWait().isPresent() && report.processorWait().getAsDouble() >= 0) {
-            setEstimate(s, wait(s, now) + FAST * (report.processorWait().getAsDouble() - wait(s, now)), now);
-        } else if (report.waiting().isPresent() && s.perWaiting > 0 && warmth(s, now) >= 1) {
-            // Late news may say that a line is short which is filling: it only ever raises the estimate, and
-            // that of warm servers, as the same line means another wait at a cold one.
-            double more = s.waiting * s.perWaiting - fallen(s, now);
-            setEstimate(s, fallen(s, now) + FAST * Math.max(0, more), now);
+        double more = report.processorWait().orElse(0) - fallen(s, now);
+        if (more > 0) {
+            setEstimate(s, fallen(s, now) + FAST * more, now);
         }
     }
 
