--- a/src/main/java/damsonseam/Decide.java
+++ b/src/main/java/damsonseam/Decide.java
@@ -38,6 +38,8 @@
     private static final int PRESSED_WINDOW = 1;
     /** Further set-ups sent into a silence before it counts as a stop for all. */
     private static final int SILENCE_TESTS = 2;
+    /** Most of a server's lines, as a share, that a rank leaves to the next above it. */
+    private static final double KEPT_LINES = 0.05;
     /** Share of the cold budget used: the rest covers uneven fronts and chance. */
     private static final double BUDGET_SHARE = 0.5;
     /** Answers after which a server's own figures count as known. */
@@ -69,6 +71,7 @@
     private final double resend;
     private final double room;
     private final int maxAttempts;
+    private final int fronts;
     private final boolean mayCancel;
     private final boolean mayProbe;
     /** The distinct worths a call can still earn, ascending: a call's rank is its place here. */
@@ -138,7 +141,9 @@
         double variance;
         int samples;
         double toldUntil = Double.NEGATIVE_INFINITY;
-        double noLineUntil = Double.NEGATIVE_INFINITY;
+        double freeLines = Double.POSITIVE_INFINITY;
+        double lines = Double.POSITIVE_INFINITY;
+        double linesAt = Double.NEGATIVE_INFINITY;
         int notices;
         double answeredAt = Double.NEGATIVE_INFINITY;
         double sentAt = Double.NEGATIVE_INFINITY;
@@ -170,6 +175,7 @@
         warmWithin = Math.max(0, settings.warmWithin().orElse(20_000));
         resend = settings.resendAfter().orElse(0);
         maxAttempts = Math.max(1, settings.maxAttempts().orElse(1));
+        fronts = Math.max(1, settings.fronts().orElse(1));
         mayCancel = settings.mayCancel().orElse(false);
         mayProbe = settings.mayProbe().orElse(false);
         double least = Double.POSITIVE_INFINITY;
@@ -297,13 +303,13 @@
     public void probed(double now, String server, boolean asked, boolean answered, double delay,
             Report report) {
         Core s = servers.get(server);
-        if (s == null || !asked) {
+        if (s == null) {
             return;
         }
-        if (answered) {
+        readReport(s, report, now);
+        if (asked && answered) {
             revive(s, now);
-            readReport(s, report, now);
-        } else {
+        } else if (asked) {
             s.badEndings++;
         }
         pump(now);
@@ -437,12 +443,30 @@
 
     /** A reported wait comes late, and may miss a line that is filling: it only ever raises the estimate. */
     private void readReport(Core s, Report report, double now) {
+        if (report.freeLines().isPresent()) {
+            s.freeLines = report.freeLines().getAsDouble();
+            s.lines = report.lines().orElse(s.lines);
+            s.linesAt = now;
+        }
         double more = report.processorWait().orElse(0) - fallen(s, now);
         if (more > 0) {
             setEstimate(s, fallen(s, now) + FAST * more, now);
         }
     }
 
+    /** Free lines by the last news less those taken since; old news that none is free is believed no more. */
+    private double freeLines(Core s, double now) {
+        return s.freeLines > 0 || now < s.linesAt + testGap() ? s.freeLines : Double.POSITIVE_INFINITY;
+    }
+
+    /**
+     * Guards the worth of calls where lines run short before the processor does: the wait does not show it.
+     * As at the levels of the wait each rank stops before the next, by a line for every second front.
+     */
+    private double keptLines(Core s, int rank) {
+        return (worths.length - 1 - rank) * Math.min(fronts / 2.0, KEPT_LINES * s.lines);
+    }
+
     /** What an ending tells of the server. */
     private void judge(Core s, Ending e, boolean wasOut, double now) {
         if (wasOut) {
@@ -455,9 +479,11 @@
             }
             case FULL -> {
                 s.unanswered.remove(e.call());
+                readReport(s, e.report(), now);
                 s.answeredAt = now;
                 if (e.reason() == Reason.NO_LINE) {
-                    s.noLineUntil = now + testGap();
+                    s.freeLines = 0;
+                    s.linesAt = now;
                 }
                 if (e.reason() == Reason.PROCESSOR_FULL || e.reason() == Reason.BEYOND_FULL) {
                     // A notice: every rank but the top stops until abatement; a told wait stops all.
@@ -527,7 +553,7 @@
                 s.stopped[r] = false;
             }
         }
-        if (now < s.toldUntil || now < s.noLineUntil) {
+        if (now < s.toldUntil || freeLines(s, now) <= keptLines(s, rank)) {
             return false;
         }
         boolean careful = s.stopped[0] || s.samples < KNOWN || warmth(s, now) < 1;
@@ -711,6 +737,7 @@
         s.sentAt = now;
         s.unanswered.put(held.id, now);
         s.tokens -= warmth(s, now) < 1 ? 1 : 0;
+        s.freeLines = Math.max(0, s.freeLines - 1);
         act.send(held.id, s.id, held.deadline);
     }
 
--- a/src/main/java/damsonseam/Front.java
+++ b/src/main/java/damsonseam/Front.java
@@ -61,11 +61,9 @@
             OptionalDouble toldWait, boolean last, Report report) { }
 
     /** A server's figures of itself, late and inexact; what is not reported is empty. */
-    record Report(OptionalDouble waiting, OptionalDouble busyShare, OptionalDouble processorWait,
-            OptionalDouble inWork, OptionalDouble acceptedRate, OptionalDouble holdBackShare) {
+    record Report(OptionalDouble freeLines, OptionalDouble lines, OptionalDouble processorWait) {
         /** A report that says nothing. */
         public static final Report NONE = new Report(OptionalDouble.empty(), OptionalDouble.empty(),
-                OptionalDouble.empty(), OptionalDouble.empty(), OptionalDouble.empty(),
                 OptionalDouble.empty());
     }
 
--- a/src/main/java/damsonseam/adapter/Wire.java
+++ b/src/main/java/damsonseam/adapter/Wire.java
@@ -279,8 +279,7 @@
                 values.put(name, value < 0 ? OptionalDouble.empty() : OptionalDouble.of(value));
             }
         }
-        return new Report(value(values, "pending"), value(values, "cpu_share"), value(values, "svc_ms"),
-                value(values, "busy_reqs"), value(values, "allowed"), value(values, "cut_by"));
+        return new Report(value(values, "spare"), value(values, "total"), value(values, "svc_ms"));
     }
 
     private static OptionalDouble value(Map<String, OptionalDouble> values, String name) {
--- a/src/test/java/damsonseam/DecideTest.java
+++ b/src/test/java/damsonseam/DecideTest.java
@@ -262,6 +262,24 @@
         assertEquals("b", s.sentTo(s.offer(0, 0)));
     }
 
+    @Test
+    void theLastFreeLinesAreKeptForTheCallsOfMoreWorth() {
+        Script s = known();
+        s.lines("a", 3, 100);
+        assertEquals("b", s.sentTo(s.offer(0, 0)));
+        assertEquals("a", s.sentTo(s.offer(1, 0)));
+    }
+
+    @Test
+    void aServerWithoutAFreeLineIsLeftUntilNewsOrAWhile() {
+        Script s = known();
+        s.end(s.offer(1, 0), Result.FULL, Reason.NO_LINE);
+        assertEquals("b", s.sentTo(s.offer(1, 0)));
+        s.stand(s.lastCall(), QUICK);
+        s.lines("a", 50, 100);
+        assertEquals("a", s.sentTo(s.offer(1, 0)));
+    }
+
     @Test
     void aBusyNumberIsRefusedForAWhile() {
         Script s = known();
--- a/src/test/java/damsonseam/Script.java
+++ b/src/test/java/damsonseam/Script.java
@@ -173,6 +173,11 @@
         front.probed(now, server, true, true, 20, Report.NONE);
     }
 
+    void lines(String server, double free, double all) {
+        front.probed(now, server, false, true, 0,
+                new Report(OptionalDouble.of(free), OptionalDouble.of(all), OptionalDouble.empty()));
+    }
+
     /** Lets time pass: timers come due, attempts are abandoned, callers who got no answer are noted. */
     void run(double span) {
         double end = now + span;
