--- a/src/main/java/damsonseam/Decide.java
+++ b/src/main/java/damsonseam/Decide.java
@@ -34,6 +34,8 @@
     private static final double SLOW = 0.05;
     /** Fallback: the estimate falls so many ms a ms, as the wait does at a processor that is left alone. */
     private static final double FALLBACK = 1.0;
+    /** Slowest fallback, above the room: there even one set-up a front is more than a server can take. */
+    private static final double FALLBACK_LEAST = 0.4;
     /** Set-ups a front may have unanswered at a pressed, cold or unknown server: each answer lets one go. */
     private static final int PRESSED_WINDOW = 1;
     /** Further set-ups sent into a silence before it counts as a stop for all. */
@@ -360,7 +362,8 @@
     }
 
     private double fallen(Core s, double now) {
-        return Math.max(Math.min(s.mean, s.estimate), s.estimate - FALLBACK * (now - s.estimateAt));
+        double rate = s.estimate > room ? Math.max(FALLBACK_LEAST, room / s.estimate) : FALLBACK;
+        return Math.max(Math.min(s.mean, s.estimate), s.estimate - rate * (now - s.estimateAt));
     }
 
     /** Age of the oldest unanswered set-up above the way there: a lower bound of the wait. */
