--- a/src/main/java/damsonseam/Decide.java
+++ b/src/main/java/damsonseam/Decide.java
@@ -60,8 +60,11 @@
     private static final int MOST_NUMBERS = 1_000;
     /** Servers remembered before those that are gone are forgotten: one may return and is known then. */
     private static final int MOST_SERVERS = 100;
-    /** The timer of the sweep; there is no other. */
+    /** Time before a failed request for the list is repeated: under the seconds by which news is late. */
+    private static final double LIST_AGAIN = 1_000.0;
+    /** The timers. */
     private static final long SWEEP_TOKEN = 1;
+    private static final long LIST_TOKEN = 2;
 
     private final Settings settings;
     private final Actions act;
@@ -70,7 +73,6 @@
     private final double margin;
     private final double coldFrom;
     private final double warmWithin;
-    private final double resend;
     private final double room;
     private final int maxAttempts;
     private final int fronts;
@@ -175,7 +177,6 @@
         margin = SWEEP + 2 * settings.tick().orElse(0);
         coldFrom = Math.max(0.05, Math.min(1, settings.coldFrom().orElse(0.25)));
         warmWithin = Math.max(0, settings.warmWithin().orElse(20_000));
-        resend = settings.resendAfter().orElse(0);
         maxAttempts = Math.max(1, settings.maxAttempts().orElse(1));
         fronts = Math.max(1, settings.fronts().orElse(1));
         mayCancel = settings.mayCancel().orElse(false);
@@ -190,6 +191,7 @@
         worths = distinct.stream().mapToDouble(Double::doubleValue).toArray();
         double byAim = ROOM_OF_AIM * (least == Double.POSITIVE_INFINITY ? UNSET_AIM : least);
         // A set-up repeated because it waited is work for nothing: the room ends before the repeat.
+        double resend = settings.resendAfter().orElse(0);
         room = resend > 0 ? Math.min(byAim, resend) : byAim;
         if (settings.listOnRequest().orElse(false)) {
             act.followList();
@@ -226,9 +228,8 @@
 
     @Override
     public void listFailed(double now) {
-        if (settings.listOnRequest().orElse(false)) {
-            act.followList();
-        }
+        // Asked again after a while only: a list service that turns requests away is not to be flooded.
+        act.timer(LIST_AGAIN, LIST_TOKEN);
     }
 
     @Override
@@ -324,6 +325,10 @@
 
     @Override
     public void timer(double now, long token) {
+        if (token == LIST_TOKEN) {
+            act.followList();
+            return;
+        }
         sweeping = false;
         for (Held held : new ArrayList<>(calls.values())) {
             if (held.out != null) {
--- a/src/test/java/damsonseam/DecideTest.java
+++ b/src/test/java/damsonseam/DecideTest.java
@@ -293,6 +293,22 @@
         assertEquals("a", s.sentTo(s.offer(0, 0)));
     }
 
+    @Test
+    void aFailedListIsAskedForAgainAfterAWhile() {
+        Script s = new Script(Script.settings().build());
+        s.listFailed();
+        assertFalse(s.log().contains("follow"));
+        s.run(1100);
+        assertTrue(s.log().contains("follow"));
+    }
+
+    @Test
+    void theModuleKeepsToItsLimitOfLines() throws java.io.IOException {
+        java.nio.file.Path module = java.nio.file.Path.of("src/main/java/damsonseam/Decide.java");
+        long lines = java.nio.file.Files.readAllLines(module).stream().filter(l -> !l.isBlank()).count();
+        assertTrue(lines <= 850, lines + " lines");
+    }
+
     @Test
     void aBusyNumberIsRefusedForAWhile() {
         Script s = known();
--- a/src/test/java/damsonseam/Script.java
+++ b/src/test/java/damsonseam/Script.java
@@ -173,6 +173,10 @@
         front.probed(now, server, true, true, 20, Report.NONE);
     }
 
+    void listFailed() {
+        front.listFailed(now);
+    }
+
     void lines(String server, double free, double all) {
         front.probed(now, server, false, true, 0,
                 new Report(OptionalDouble.of(free), OptionalDouble.of(all), OptionalDouble.empty()));
