--- a/src/main/java/damsonseam/Decide.java
+++ b/src/main/java/damsonseam/Decide.java
@@ -43,7 +43,7 @@
     /** Most of a server's lines, as a share, that a rank leaves to the next above it. */
     private static final double KEPT_LINES = 0.05;
     /** Share of the cold budget used: the rest covers uneven fronts and chance. */
-    private static final double BUDGET_SHARE = 0.5;
+    private static final double BUDGET_SHARE = 0.33;
     /** Answers after which a server's own figures count as known. */
     private static final int KNOWN = 10;
     /** Held and moved calls reach one server at so many times its ordinary rate from this front. */
@@ -810,7 +810,7 @@
             return true;
         }
         double rate = warmth * BUDGET_SHARE * settings.tipMultiple().orElse(1) * reference(s);
-        s.tokens = Math.min(1.5, s.tokens + rate * (now - s.tokensAt));
+        s.tokens = Math.min(1, s.tokens + rate * (now - s.tokensAt));
         s.tokensAt = now;
         return s.tokens >= 1;
     }
