--- a/src/main/java/damsonseam/Decide.java
+++ b/src/main/java/damsonseam/Decide.java
@@ -787,7 +787,8 @@
         s.startedAt = since;
         s.down = false;
         s.badEndings = 0;
-        s.tokens = 0;
+        // Fronts hear of a start together: a random part of the first token keeps them out of step.
+        s.tokens = random.nextDouble();
         s.tokensAt = now;
         s.rateAt = now;
         s.unanswered.clear();
