--- a/src/main/java/damsonseam/Decide.java
+++ b/src/main/java/damsonseam/Decide.java
@@ -136,6 +136,7 @@
         int number;
         State state = State.RUNNING;
         boolean down;
+        boolean releasing;
         int badEndings;
         double startedAt = Double.NEGATIVE_INFINITY;
         double lowest = Double.POSITIVE_INFINITY;
@@ -395,8 +396,10 @@
             s.rateAt = now;
         }
         if (wait(s, now) < onset(s, 0)) {
-            // An answer that came without a wait shows that a cold server bears what it gets.
+            // An answer that came without a wait shows that a cold server bears what it gets, and that a
+            // stop is over; until then a release at abatement would let the fronts go in step.
             s.tokens++;
+            s.releasing = false;
         }
         if (warmth(s, now) >= 1) {
             // What is ordinary is learnt from waits up to the first onset: pressure must not become ordinary.
@@ -564,7 +567,8 @@
         if (now < s.toldUntil || freeLines(s, now) <= keptLines(s, rank)) {
             return false;
         }
-        boolean careful = s.stopped[0] || s.samples < KNOWN || warmth(s, now) < 1;
+        s.releasing |= s.stopped[0];
+        boolean careful = s.releasing || s.samples < KNOWN || warmth(s, now) < 1;
         if (careful && s.unanswered.size() >= PRESSED_WINDOW) {
             // Only silence stops it: one or two more test whether the silent set-up was merely lost.
             return fallen(s, now) < onset(s, 0) && s.unanswered.size() <= SILENCE_TESTS
--- a/src/test/java/damsonseam/DecideTest.java
+++ b/src/test/java/damsonseam/DecideTest.java
@@ -309,6 +309,22 @@
         assertTrue(lines <= 850, lines + " lines");
     }
 
+    @Test
+    void afterAbatementOneSetUpGoesUntilAnAnswerShowsAShortWait() {
+        Script s = known();
+        s.wait("a", 300);
+        assertEquals("b", s.sentTo(s.offer(0, 0)));
+        s.stand(s.lastCall(), QUICK);
+        s.run(1500);
+        long first = s.offer(1, 0);
+        s.offer(1, 0);
+        assertEquals(1, s.out("a"));
+        s.stand(first, QUICK);
+        s.offer(1, 0);
+        s.offer(1, 0);
+        assertTrue(s.out("a") >= 2);
+    }
+
     @Test
     void aBusyNumberIsRefusedForAWhile() {
         Script s = known();
