--- a/src/main/java/damsonseam/Decide.java
+++ b/src/main/java/damsonseam/Decide.java
@@ -52,8 +52,8 @@
     private static final double SWEEP = 20.0;
     /** Bad endings in a row, with no answer between, after which a server is taken to be down. */
     private static final int DOWN_AFTER = 2;
-    /** Span of the average rate of set-ups that stand: some tens of calls, longer than most bursts. */
-    private static final double RATE_SPAN = 10_000.0;
+    /** Span of the average rate of set-ups that stand: longer than most troubles, which must not set it. */
+    private static final double RATE_SPAN = 60_000.0;
     /** Longest time taken for a caller's patience or an aim where the settings give none. */
     private static final double UNSET_AIM = 1_000.0;
     /** Busy numbers remembered: the memory's bound, far above the numbers that are hot at one time. */
@@ -62,6 +62,10 @@
     private static final int MOST_SERVERS = 100;
     /** Time before a failed request for the list is repeated: under the seconds by which news is late. */
     private static final double LIST_AGAIN = 1_000.0;
+    /** Longest turn at a squeezed server in fair turns; what a quick answer leaves of it; when it ends. */
+    private static final double MOST_SQUEEZE = 8.0;
+    private static final double RELAX = 0.7;
+    private static final double FREE = 0.5;
     /** The timers. */
     private static final long SWEEP_TOKEN = 1;
     private static final long LIST_TOKEN = 2;
@@ -96,7 +100,17 @@
             return size() > MOST_NUMBERS;
         }
     };
-    private boolean sweeping;
+    /** Set-ups found lost, and those sent to a process that has restarted since. */
+    private final List<Held> lost = new ArrayList<>();
+    /** The longest time that a call of each class was seen to have left. */
+    private final double[] usualTime;
+    private double beatAt = Double.POSITIVE_INFINITY;
+    private double seenAt = Double.NEGATIVE_INFINITY;
+    private double pause;
+    private double asleep;
+    private double stood;
+    private double span;
+    private double stoodAt = Double.NaN;
 
     /** One call that this front owes an answer. */
     private static final class Held {
@@ -156,10 +170,8 @@
         double pacedAt = Double.NEGATIVE_INFINITY;
         double tokens;
         double tokensAt;
-        double rate;
-        double rateAt;
-        double stood;
-        double weight;
+        double squeeze;
+        boolean died;
         final boolean[] stopped;
         final Map<Long, Double> unanswered = new LinkedHashMap<>();
 
@@ -194,6 +206,7 @@
         // A set-up repeated because it waited is work for nothing: the room ends before the repeat.
         double resend = settings.resendAfter().orElse(0);
         room = resend > 0 ? Math.min(byAim, resend) : byAim;
+        usualTime = new double[settings.classes().size()];
         if (settings.listOnRequest().orElse(false)) {
             act.followList();
         }
@@ -207,6 +220,7 @@
 
     @Override
     public void serverList(double now, boolean full, List<ServerEntry> entries) {
+        paused(now);
         if (full) {
             TreeSet<String> named = new TreeSet<>();
             entries.forEach(e -> named.add(e.id()));
@@ -224,7 +238,6 @@
         if (servers.size() > MOST_SERVERS) {
             servers.values().removeIf(s -> s.state == State.GONE);
         }
-        pump(now);
     }
 
     @Override
@@ -235,44 +248,52 @@
 
     @Override
     public void offered(double now, Call call) {
+        paused(now);
         CallClass c = settings.classes().get(call.callClass());
         if (numberBusy(call.number(), now)) {
             act.refuse(call.id(), returnAdvice());
             return;
         }
+        // A front that stood still is handed its calls late: their time left is short of the usual by that.
+        usualTime[call.callClass()] = Math.max(usualTime[call.callClass()], call.timeLeft());
+        double age = usualTime[call.callClass()] - call.timeLeft();
         Held held = new Held(call, now, now + call.timeLeft() - margin,
-                call.redialled() ? now : now + aim(c));
+                call.redialled() ? now : now + aim(c) - age);
         held.rank = rank(held, now);
         calls.put(held.id, held);
-        place(held, now);
-        sweepLater();
+        queue.add(held);
     }
 
     @Override
     public void stands(double now, long id, String server, int attempt, double delay) {
+        paused(now);
         Core s = servers.get(server);
         if (s != null) {
             answered(s, id, delay, now, true);
         }
         calls.remove(id);
-        pump(now);
     }
 
     @Override
     public void ended(double now, Ending e) {
+        paused(now);
         Core s = servers.get(e.server());
         Held held = calls.get(e.call());
         boolean wasOut = held != null && held.out != null && held.out.id.equals(e.server());
         if (s != null) {
             judge(s, e, wasOut, now);
         }
-        if (held == null || e.last()) {
+        if (e.last()) {
             calls.remove(e.call());
-            pump(now);
+            return;
+        }
+        if (held == null) {
+            // It stood, and a cancel that was on its way to it then took effect: its answer is owed again.
+            act.fail(e.call());
             return;
         }
         if (e.reason() == Reason.NUMBER_BUSY) {
-            busyNumbers.merge(held.number, now + testGap(), Math::max);
+            busyNumbers.merge(held.number, now + spell(), Math::max);
         }
         held.out = null;
         held.cancelling = false;
@@ -289,14 +310,13 @@
             calls.remove(held.id);
             act.fail(held.id);
         } else {
-            place(held, now);
+            queue.add(held);
         }
-        pump(now);
-        sweepLater();
     }
 
     @Override
     public void left(double now, long call) {
+        paused(now);
         Held held = calls.remove(call);
         if (held != null) {
             queue.remove(held);
@@ -306,6 +326,7 @@
     @Override
     public void probed(double now, String server, boolean asked, boolean answered, double delay,
             Report report) {
+        paused(now);
         Core s = servers.get(server);
         if (s == null) {
             return;
@@ -316,7 +337,6 @@
         } else if (asked) {
             s.badEndings++;
         }
-        pump(now);
     }
 
     @Override
@@ -326,37 +346,48 @@
 
     @Override
     public void timer(double now, long token) {
+        paused(now);
         if (token == LIST_TOKEN) {
             act.followList();
             return;
         }
-        sweeping = false;
-        for (Held held : new ArrayList<>(calls.values())) {
-            if (held.out != null) {
-                watch(held, now);
-            } else {
-                int rank = rank(held, now);
-                if (rank != held.rank) {
-                    queue.remove(held);
-                    held.rank = rank;
-                    queue.add(held);
-                }
-            }
-        }
-        pump(now);
+        beatAt = Double.POSITIVE_INFINITY;
+    }
+
+    @Override
+    public void settled(double now) {
+        paused(now);
+        lost.forEach(held -> callBack(held, now));
+        lost.clear();
         for (Core s : servers.values()) {
+            watch(s, now);
             if (s.down && mayProbe && now >= s.testedAt + testGap() && s.state == State.RUNNING) {
                 s.testedAt = now;
                 act.probe(s.id);
             }
         }
-        sweepLater();
+        for (Held held : new ArrayList<>(queue)) {
+            int rank = rank(held, now);
+            if (rank != held.rank) {
+                queue.remove(held);
+                held.rank = rank;
+                queue.add(held);
+            }
+        }
+        pump(now);
+        boolean waiting = !queue.isEmpty() || servers.values().stream().anyMatch(s -> !s.unanswered.isEmpty());
+        if (waiting && beatAt == Double.POSITIVE_INFINITY) {
+            beatAt = now + SWEEP;
+            act.timer(SWEEP, SWEEP_TOKEN);
+        }
     }
 
-    private void sweepLater() {
-        if (!sweeping && !calls.isEmpty()) {
-            sweeping = true;
-            act.timer(SWEEP, SWEEP_TOKEN);
+    /** A beat that comes late tells that this front stood still, and for how long at the most. */
+    private void paused(double now) {
+        if (now > seenAt) {
+            pause = Math.max(0, now - Math.max(seenAt, beatAt) - margin);
+            asleep += pause;
+            seenAt = now;
         }
     }
 
@@ -378,7 +409,7 @@
             return 0;
         }
         double oldest = s.unanswered.values().iterator().next();
-        return Math.max(0, now - oldest - way(s));
+        return Math.max(0, now - asleep - oldest - way(s));
     }
 
     private void answered(Core s, long id, double delay, double now, boolean sample) {
@@ -388,17 +419,31 @@
         if (!sample) {
             return;
         }
+        double decay = Math.exp((stoodAt - now) / RATE_SPAN);
+        stood = Double.isNaN(decay) ? 1 : stood * decay + 1;
+        span = Double.isNaN(decay) ? 0 : span * decay + (now - stoodAt);
+        stoodAt = now;
         s.notices = 0;
         s.lowest = Math.min(s.lowest, delay);
         double excess = delay - way(s);
+        if (pause > 0 && excess >= onset(s, 0)) {
+            // Some of this wait was our own pause: what is left for sure is all that counts.
+            excess -= pause;
+            if (excess < onset(s, 0)) {
+                return;
+            }
+        }
         setEstimate(s, s.samples == 0 ? excess : wait(s, now) + FAST * (excess - wait(s, now)), now);
-        if (s.samples++ == 0) {
-            s.rateAt = now;
+        s.samples++;
+        if (excess >= onset(s, 0)) {
+            squeeze(s, excess, now);
+        } else if (excess <= abatement(s, 0)) {
+            s.squeeze *= RELAX;
+            s.squeeze = s.squeeze < FREE ? 0 : s.squeeze;
         }
         if (wait(s, now) < onset(s, 0)) {
-            // An answer that came without a wait shows that a cold server bears what it gets, and that a
-            // stop is over; until then a release at abatement would let the fronts go in step.
-            s.tokens++;
+            // An answer that came without a wait shows that a stop is over; until then a release at
+            // abatement would let the fronts go in step.
             s.releasing = false;
         }
         if (warmth(s, now) >= 1) {
@@ -407,12 +452,16 @@
             double w = Math.max(SLOW, 1.0 / s.samples);
             s.variance += w * ((x - s.mean) * (x - s.mean) - s.variance);
             s.mean += w * (x - s.mean);
-            // A rate over the span, or over the time since the first answer while that is shorter.
-            s.weight = s.weight * Math.exp(-(now - s.rateAt) / RATE_SPAN) + (now - s.rateAt);
-            s.stood = s.stood * Math.exp(-(now - s.rateAt) / RATE_SPAN) + 1;
-            s.rate = s.stood / Math.max(testGap(), s.weight);
         }
-        s.rateAt = now;
+    }
+
+    /** A wait past onset makes the turns of this server longer, the more so the longer the wait. */
+    private void squeeze(Core s, double wait, double now) {
+        if (s.squeeze == 0 && warmth(s, now) >= 1) {
+            s.tokens = random.nextDouble();
+            s.tokensAt = now;
+        }
+        s.squeeze = Math.min(MOST_SQUEEZE, Math.max(1, s.squeeze) * (1 + Math.min(1, wait / room)));
     }
 
     /**
@@ -429,14 +478,19 @@
             if (earlier.getValue() >= before) {
                 return;
             }
-            Held lost = calls.get(earlier.getKey());
-            if (lost != null) {
-                lost.lost = true;
-            }
+            lose(earlier.getKey());
             it.remove();
         }
     }
 
+    private void lose(long id) {
+        Held held = calls.get(id);
+        if (held != null) {
+            held.lost = true;
+            lost.add(held);
+        }
+    }
+
     /** The time a set-up takes without a wait; a server never seen unpressed is held to the best one's. */
     private double way(Core s) {
         double best = Double.POSITIVE_INFINITY;
@@ -467,7 +521,7 @@
 
     /** Free lines by the last news less those taken since; old news that none is free is believed no more. */
     private double freeLines(Core s, double now) {
-        return s.freeLines > 0 || now < s.linesAt + testGap() ? s.freeLines : Double.POSITIVE_INFINITY;
+        return s.freeLines > 0 || now < s.linesAt + spell() ? s.freeLines : Double.POSITIVE_INFINITY;
     }
 
     /**
@@ -480,7 +534,7 @@
 
     /** What an ending tells of the server. */
     private void judge(Core s, Ending e, boolean wasOut, double now) {
-        if (wasOut) {
+        if (e.result() != Result.COMPLETED && e.result() != Result.ERROR) {
             s.unanswered.remove(e.call());
         }
         switch (e.result()) {
@@ -489,7 +543,6 @@
                 readReport(s, e.report(), now);
             }
             case FULL -> {
-                s.unanswered.remove(e.call());
                 readReport(s, e.report(), now);
                 s.answeredAt = now;
                 if (e.reason() == Reason.NO_LINE) {
@@ -504,18 +557,23 @@
                     double closed = room * (1 + Math.min(s.notices, 2 * DOWN_AFTER));
                     setEstimate(s, Math.max(wait(s, now), closed), now);
                     s.toldUntil = Math.max(s.toldUntil, now + e.toldWait().orElse(0));
+                    squeeze(s, room, now);
                 }
             }
             case TIMED_OUT, CANCELLED -> {
                 if (wasOut && !calls.get(e.call()).lost) {
                     // What the silence had proved stays true when its set-up is given up.
                     setEstimate(s, Math.max(wait(s, now), e.delay() - way(s)), now);
+                    squeeze(s, room, now);
                 }
                 if (wasOut && s.answeredAt < now - Math.max(e.delay(), room)) {
                     badEnding(s, now);
                 }
             }
-            case RESET, UNREACHABLE -> badEnding(s, now);
+            case RESET, UNREACHABLE -> {
+                s.died = true;
+                badEnding(s, now);
+            }
             default -> { }
         }
     }
@@ -529,12 +587,16 @@
         }
     }
 
-    /** A server thought down that answers has restarted for all we know: it is cold from now on. */
+    /** A server thought dead that answers has restarted for all we know: cold from now on; if silent, not. */
     private void revive(Core s, double now) {
         s.badEndings = 0;
-        if (s.down) {
+        if (s.down && s.died) {
             startCold(s, now, now);
+        } else if (s.down) {
+            s.down = false;
+            squeeze(s, room, now);
         }
+        s.died = false;
     }
 
     // ---- Levels -----------------------------------------------------------------------------------------
@@ -623,7 +685,7 @@
             boolean inTime = now + way(s) + wait(s, now) < held.deadline;
             boolean turn = !held.moved || now >= s.pacedAt;
             boolean takes = !s.down && open(s, held.rank, now);
-            if (takes && inTime && turn && mayPush(s, now)) {
+            if (takes && inTime && turn && mayPush(s, held.rank, now)) {
                 if (s.number == held.firstChoice && s != held.avoid) {
                     first = s;
                 }
@@ -652,7 +714,7 @@
         for (Core s : usable) {
             boolean due = now >= Math.max(s.sentAt, s.testedAt) + testGap() && now >= s.toldUntil;
             boolean bySetUp = s.down ? !mayProbe : s.notices >= DOWN_AFTER;
-            if (due && bySetUp && s.unanswered.isEmpty() && s != held.avoid && mayPush(s, now)) {
+            if (due && bySetUp && s.unanswered.isEmpty() && s != held.avoid && mayPush(s, held.rank, now)) {
                 s.testedAt = now;
                 return s;
             }
@@ -661,31 +723,25 @@
     }
 
     private double testGap() {
-        return Math.max(guard, 2 * room);
+        return Math.max(spell(), turn());
     }
 
-    // ---- Hold and paced hand-over -------------------------------------------------------------------------
+    /** The time for which a single piece of bad news is believed. */
+    private double spell() {
+        return Math.max(guard, 2 * room);
+    }
 
-    /** Sends the call, or holds it, or refuses it where holding is of no use. */
-    private void place(Held held, double now) {
-        List<Core> usable = usable(held);
-        Held ahead = queue.isEmpty() ? null : queue.first();
-        boolean waitTurn = ahead != null && ahead.rank >= held.rank && ahead.notBefore <= now;
-        if (now >= held.notBefore && !waitTurn) {
-            Core s = choose(held, usable, now);
-            if (s != null) {
-                send(held, s, now);
-                return;
-            }
-        }
-        if (worthHolding(held, usable, now)) {
-            held.moved = true;
-            queue.add(held);
-        } else {
-            refuse(held, now);
-        }
+    /**
+     * The time between set-ups of this front at one server if all that stand were spread evenly: its fair turn.
+     * All allowances are counted in turns, so that those of all fronts add up to what the servers can do.
+     */
+    private double turn() {
+        long running = servers.values().stream().filter(s -> s.state == State.RUNNING && !s.down).count();
+        return Math.max(1, running) * Math.max(span, room) / Math.max(1, stood);
     }
 
+    // ---- Hold and paced hand-over -------------------------------------------------------------------------
+
     /** Between onset and discard a call is held; past discard everywhere it is refused at once. */
     private boolean worthHolding(Held held, List<Core> usable, double now) {
         if (usable.isEmpty() || now >= held.deadline - room) {
@@ -710,45 +766,32 @@
         return settings.maxReturnAdvice().orElse(0) * (0.5 + 0.5 * random.nextDouble());
     }
 
+    /** Sends what may go, highest worth first, holds the rest, or refuses it where holding is of no use. */
     private void pump(double now) {
         for (Held held : new ArrayList<>(queue)) {
             List<Core> usable = usable(held);
             Core s = now >= held.notBefore ? choose(held, usable, now) : null;
             if (s != null) {
                 queue.remove(held);
+                if (held.moved) {
+                    s.pacedAt = now + turn() / PACE;
+                }
                 send(held, s, now);
-                s.pacedAt = now + paceGap(s);
-            } else if (!worthHolding(held, usable, now)) {
+            } else if (worthHolding(held, usable, now)) {
+                held.moved = true;
+            } else {
                 refuse(held, now);
             }
         }
     }
 
-    private double paceGap(Core s) {
-        return Math.min(onset(s, 0), 1 / (PACE * reference(s)));
-    }
-
-    /** Set-ups a ms that stand at this server by this front in ordinary times; else the others' mean. */
-    private double reference(Core s) {
-        double sum = 0;
-        int known = 0;
-        for (Core o : servers.values()) {
-            if (o.samples >= KNOWN) {
-                sum += o.rate;
-                known++;
-            }
-        }
-        double rate = s.samples >= KNOWN ? s.rate : known > 0 ? sum / known : 0;
-        return Math.max(rate, 1 / testGap());
-    }
-
     private void send(Held held, Core s, double now) {
         held.out = s;
         held.sentAt = now;
         held.attempts++;
         s.sentAt = now;
-        s.unanswered.put(held.id, now);
-        s.tokens -= warmth(s, now) < 1 ? 1 : 0;
+        s.unanswered.put(held.id, now - asleep);
+        s.tokens--;
         s.freeLines = Math.max(0, s.freeLines - 1);
         act.send(held.id, s.id, held.deadline);
     }
@@ -756,13 +799,22 @@
     // ---- Guards -----------------------------------------------------------------------------------------
 
     /** Guards a call against a server gone silent: with no answer of any kind since it was sent, it moves. */
-    private void watch(Held held, double now) {
-        Core s = held.out;
+    private void watch(Core s, double now) {
         double patience = way(s) + room + 2 * s.estimate;
-        boolean silent = s.answeredAt < held.sentAt && now - held.sentAt > patience;
+        for (Map.Entry<Long, Double> e : s.unanswered.entrySet()) {
+            Held held = calls.get(e.getKey());
+            if (now - asleep - e.getValue() <= patience) {
+                break;
+            }
+            if (held != null && s.answeredAt < held.sentAt && elsewhere(held, now)) {
+                callBack(held, now);
+            }
+        }
+    }
+
+    private void callBack(Held held, double now) {
         boolean timeToMove = now + guard + room < held.deadline && held.attempts < maxAttempts;
-        boolean move = held.lost || silent && elsewhere(held, now);
-        if (mayCancel && timeToMove && !held.cancelling && move) {
+        if (mayCancel && timeToMove && !held.cancelling && held.out != null) {
             held.cancelling = true;
             act.cancel(held.id, held.attempts - 1);
         }
@@ -794,7 +846,8 @@
         // Fronts hear of a start together: a random part of the first token keeps them out of step.
         s.tokens = random.nextDouble();
         s.tokensAt = now;
-        s.rateAt = now;
+        s.squeeze = 0;
+        s.unanswered.keySet().forEach(this::lose);
         s.unanswered.clear();
         setEstimate(s, s.mean, now);
     }
@@ -806,17 +859,19 @@
     }
 
     /**
-     * The cold budget: the rate this front gives an ordinary server, scaled by how warm this one is, and one
-     * more for each answer without a wait. With one unanswered a front, no window fills far beyond capacity.
+     * The turns of a server that is cold or squeezed: a cold one gets a fair share as its warmth allows, a
+     * squeezed one as often as its answers showed it to bear. As at the levels, each rank stops before the next.
      */
-    private boolean mayPush(Core s, double now) {
+    private boolean mayPush(Core s, int rank, double now) {
         double warmth = warmth(s, now);
-        if (warmth >= 1) {
+        if (warmth >= 1 && s.squeeze == 0) {
             return true;
         }
-        double rate = warmth * BUDGET_SHARE * settings.tipMultiple().orElse(1) * reference(s);
-        s.tokens = Math.min(1, s.tokens + rate * (now - s.tokensAt));
+        double share = warmth < 1 ? warmth * BUDGET_SHARE * settings.tipMultiple().orElse(1) : 1;
+        double rate = Math.min(share, s.squeeze > 0 ? 1 / s.squeeze : share) / turn();
+        s.tokens = Math.min(1, Math.max(-1, s.tokens) + rate * (now - s.tokensAt));
         s.tokensAt = now;
-        return s.tokens >= 1;
+        boolean first = warmth < 1 || worths.length < 2;
+        return s.tokens >= (first ? 1 : 1 - rank / (worths.length - 1.0));
     }
 }
--- a/src/main/java/damsonseam/Front.java
+++ b/src/main/java/damsonseam/Front.java
@@ -40,6 +40,12 @@
     /** A timer set by {@link Actions#timer} is due. */
     void timer(double now, long token);
 
+    /**
+     * All events of this moment have been handed over. The module sends, refuses and calls back here only, so
+     * that it never acts on half the news of a moment; call it after each event, or after all that came at once.
+     */
+    void settled(double now);
+
     /** Whether a server takes work. */
     enum State { RUNNING, DRAINING, GONE }
 
--- a/src/main/java/damsonseam/adapter/Wire.java
+++ b/src/main/java/damsonseam/adapter/Wire.java
@@ -15,9 +15,11 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HexFormat;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
+import java.util.Set;
 
 /** Reads batches of events, hands each event to its instance, and writes one reply a batch. */
 final class Wire {
@@ -32,6 +34,8 @@
     private final Writer out;
     private final Map<Integer, Instance> instances = new HashMap<>();
     private final Map<Integer, List<ServerEntry>> lists = new HashMap<>();
+    /** The instances that had an event in this batch, in the order of their first. */
+    private final Set<Integer> touched = new LinkedHashSet<>();
     private final StringBuilder reply = new StringBuilder();
     private long lineNumber;
     private double now = Double.NEGATIVE_INFINITY;
@@ -52,13 +56,21 @@
                 throw line.wrong("a clock that does not run backwards");
             }
             now = time;
+            touched.clear();
             batch();
+            touched.forEach(number -> settle(instances.get(number)));
             out.append(reply).append("done\n");
             out.flush();
             reply.setLength(0);
         }
     }
 
+    private void settle(Instance instance) {
+        if (instance != null) {
+            instance.front().settled(now);
+        }
+    }
+
     private Line next() throws IOException {
         String text = in.readLine();
         lineNumber++;
@@ -139,10 +151,12 @@
     }
 
     private Instance instance(Line line) {
-        Instance instance = instances.get(line.small("the instance"));
+        int number = line.small("the instance");
+        Instance instance = instances.get(number);
         if (instance == null) {
             throw line.wrong("a running instance");
         }
+        touched.add(number);
         return instance;
     }
 
