Turns by lines in use, reports of busy share and set-ups waiting observed, newest held call first

Cause: servers differ tenfold in size, so equal turns starved the large ones; a front's own samples (0.3 a second and server) are too few, while lines in use are told to all fronts each second. Reports of ended calls double the samples. May harm where lines in use do not follow a server's ordinary load.

--- a/src/main/java/damsonseam/Decide.java
+++ b/src/main/java/damsonseam/Decide.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -66,6 +68,8 @@
     private static final double MOST_SQUEEZE = 8.0;
     private static final double RELAX = 0.7;
     private static final double FREE = 0.5;
+    /** Reported busy share above which a server has nothing left to give: the noise of reports below all. */
+    private static final double BUSY = 0.9;
     /** The timers. */
     private static final long SWEEP_TOKEN = 1;
     private static final long LIST_TOKEN = 2;
@@ -90,7 +94,7 @@
     private final Map<String, Core> servers = new TreeMap<>();
     private final Map<Long, Held> calls = new LinkedHashMap<>();
     private final TreeSet<Held> queue = new TreeSet<>(Comparator.comparingInt((Held c) -> -c.rank)
-            .thenComparingDouble(c -> c.arrived).thenComparingLong(c -> c.id));
+            .thenComparingDouble(c -> -c.arrived).thenComparingLong(c -> c.id));
     /** Numbers lately found busy, the oldest first, and until when they are taken to be. */
     private final Map<String, Double> busyNumbers = new LinkedHashMap<>(16, 0.75f, false) {
         private static final long serialVersionUID = 1L;
@@ -111,6 +115,11 @@
     private double stood;
     private double span;
     private double stoodAt = Double.NaN;
+    private double bestWay = Double.POSITIVE_INFINITY;
+    /** Worked out once each moment: the least time to an answer, and what the sizes of all servers come to. */
+    private double lead;
+    private double allSizes;
+    private double fill;
 
     /** One call that this front owes an answer. */
     private static final class Held {
@@ -171,6 +180,7 @@
         double tokens;
         double tokensAt;
         double squeeze;
+        double used;
         boolean died;
         final boolean[] stopped;
         final Map<Long, Double> unanswered = new LinkedHashMap<>();
@@ -259,7 +269,6 @@
         double age = usualTime[call.callClass()] - call.timeLeft();
         Held held = new Held(call, now, now + call.timeLeft() - margin,
                 call.redialled() ? now : now + aim(c) - age);
-        held.rank = rank(held, now);
         calls.put(held.id, held);
         queue.add(held);
     }
@@ -357,11 +366,12 @@
     @Override
     public void settled(double now) {
         paused(now);
+        measure(now);
         lost.forEach(held -> callBack(held, now));
         lost.clear();
         for (Core s : servers.values()) {
             watch(s, now);
-            if (s.down && mayProbe && now >= s.testedAt + testGap() && s.state == State.RUNNING) {
+            if (s.down && mayProbe && now >= s.testedAt + testGap(s) && s.state == State.RUNNING) {
                 s.testedAt = now;
                 act.probe(s.id);
             }
@@ -425,6 +435,7 @@
         stoodAt = now;
         s.notices = 0;
         s.lowest = Math.min(s.lowest, delay);
+        bestWay = Math.min(bestWay, delay);
         double excess = delay - way(s);
         if (pause > 0 && excess >= onset(s, 0)) {
             // Some of this wait was our own pause: what is left for sure is all that counts.
@@ -435,12 +446,7 @@
         }
         setEstimate(s, s.samples == 0 ? excess : wait(s, now) + FAST * (excess - wait(s, now)), now);
         s.samples++;
-        if (excess >= onset(s, 0)) {
-            squeeze(s, excess, now);
-        } else if (excess <= abatement(s, 0)) {
-            s.squeeze *= RELAX;
-            s.squeeze = s.squeeze < FREE ? 0 : s.squeeze;
-        }
+        observe(s, excess, now);
         if (wait(s, now) < onset(s, 0)) {
             // An answer that came without a wait shows that a stop is over; until then a release at
             // abatement would let the fronts go in step.
@@ -455,6 +461,16 @@
         }
     }
 
+    /** Whether a server bears what it gets: its turns grow longer past onset, and shorter below abatement. */
+    private void observe(Core s, double wait, double now) {
+        if (wait >= onset(s, 0)) {
+            squeeze(s, wait, now);
+        } else if (wait <= abatement(s, 0)) {
+            s.squeeze *= RELAX;
+            s.squeeze = s.squeeze < FREE ? 0 : s.squeeze;
+        }
+    }
+
     /** A wait past onset makes the turns of this server longer, the more so the longer the wait. */
     private void squeeze(Core s, double wait, double now) {
         if (s.squeeze == 0 && warmth(s, now) >= 1) {
@@ -493,11 +509,7 @@
 
     /** The time a set-up takes without a wait; a server never seen unpressed is held to the best one's. */
     private double way(Core s) {
-        double best = Double.POSITIVE_INFINITY;
-        for (Core o : servers.values()) {
-            best = Math.min(best, o.lowest);
-        }
-        double way = Math.min(s.lowest, best + ONSET_MOST * room);
+        double way = Math.min(s.lowest, bestWay + ONSET_MOST * room);
         return way == Double.POSITIVE_INFINITY ? 0 : way;
     }
 
@@ -511,9 +523,17 @@
         if (report.freeLines().isPresent()) {
             s.freeLines = report.freeLines().getAsDouble();
             s.lines = report.lines().orElse(s.lines);
+            s.used = Math.max(s.lines - s.freeLines, s.used * Math.exp(Math.min(0, s.linesAt - now) / RATE_SPAN));
             s.linesAt = now;
         }
-        double more = report.processorWait().orElse(0) - fallen(s, now);
+        // Set-ups waiting there are so many turns of all fronts, longer ones where the server is slow.
+        double queued = report.waiting().orElse(0) * turn(s) * Math.max(1, s.squeeze) / fronts;
+        double wait = report.processorWait().orElse(queued);
+        boolean told = report.processorWait().isPresent() || report.waiting().isPresent();
+        if (told && (report.busy().orElse(0) < BUSY || wait >= onset(s, 0))) {
+            observe(s, wait, now);
+        }
+        double more = wait - fallen(s, now);
         if (more > 0) {
             setEstimate(s, fallen(s, now) + FAST * more, now);
         }
@@ -642,7 +662,7 @@
     /** A call's rank: the place of the worth that it can still earn; after its aim that is its late worth. */
     private int rank(Held held, double now) {
         CallClass c = settings.classes().get(held.callClass);
-        double worth = c.worth().orElse(1) * (now + lead(now) >= held.aimBy ? c.lateShare().orElse(0) : 1);
+        double worth = c.worth().orElse(1) * (now + lead >= held.aimBy ? c.lateShare().orElse(0) : 1);
         int rank = 0;
         while (rank < worths.length - 1 && worths[rank] < worth) {
             rank++;
@@ -650,17 +670,6 @@
         return rank;
     }
 
-    /** The least time to an answer for a set-up sent now: a held call is late so much before its aim. */
-    private double lead(double now) {
-        double least = Double.POSITIVE_INFINITY;
-        for (Core s : servers.values()) {
-            if (s.state == State.RUNNING && !s.down) {
-                least = Math.min(least, way(s) + Math.min(room, Math.max(wait(s, now), onset(s, 0))));
-            }
-        }
-        return least == Double.POSITIVE_INFINITY ? 0 : least;
-    }
-
     // ---- Choice -----------------------------------------------------------------------------------------
 
     private List<Core> usable(Held held) {
@@ -712,7 +721,7 @@
      */
     private Core test(Held held, List<Core> usable, double now) {
         for (Core s : usable) {
-            boolean due = now >= Math.max(s.sentAt, s.testedAt) + testGap() && now >= s.toldUntil;
+            boolean due = now >= Math.max(s.sentAt, s.testedAt) + testGap(s) && now >= s.toldUntil;
             boolean bySetUp = s.down ? !mayProbe : s.notices >= DOWN_AFTER;
             if (due && bySetUp && s.unanswered.isEmpty() && s != held.avoid && mayPush(s, held.rank, now)) {
                 s.testedAt = now;
@@ -722,8 +731,8 @@
         return null;
     }
 
-    private double testGap() {
-        return Math.max(spell(), turn());
+    private double testGap(Core s) {
+        return Math.max(spell(), turn(s));
     }
 
     /** The time for which a single piece of bad news is believed. */
@@ -732,12 +741,39 @@
     }
 
     /**
-     * The time between set-ups of this front at one server if all that stand were spread evenly: its fair turn.
-     * All allowances are counted in turns, so that those of all fronts add up to what the servers can do.
+     * The time between set-ups of this front at one server if all fronts alike kept it at its ordinary share of
+     * what stands: its fair turn. Lines in use show these shares at once and to all fronts alike. Allowances are
+     * counted in turns, so that those of all fronts add up to what the servers can do, be they 5 or 500.
      */
-    private double turn() {
-        long running = servers.values().stream().filter(s -> s.state == State.RUNNING && !s.down).count();
-        return Math.max(1, running) * Math.max(span, room) / Math.max(1, stood);
+    private double turn(Core s) {
+        return Math.max(1, allSizes / size(s)) * Math.max(span, room) / Math.max(1, stood);
+    }
+
+    /** Most lines lately in use; of a server that is cold what it should have by its lines; else all alike. */
+    private double size(Core s) {
+        if (fill <= 0 || s.lines == Double.POSITIVE_INFINITY) {
+            return 1;
+        }
+        return Math.max(1, s.startedAt == Double.NEGATIVE_INFINITY ? s.used : Math.max(s.used, fill * s.lines));
+    }
+
+    private void measure(double now) {
+        lead = Double.POSITIVE_INFINITY;
+        double used = 0;
+        double lines = 0;
+        for (Core s : servers.values()) {
+            if (s.state == State.RUNNING && !s.down) {
+                lead = Math.min(lead, way(s) + Math.min(room, Math.max(wait(s, now), onset(s, 0))));
+                used += s.used;
+                lines += s.lines;
+            }
+        }
+        lead = lead == Double.POSITIVE_INFINITY ? 0 : lead;
+        fill = lines > 0 ? used / lines : 0;
+        allSizes = 0;
+        for (Core s : servers.values()) {
+            allSizes += s.state == State.RUNNING && !s.down ? size(s) : 0;
+        }
     }
 
     // ---- Hold and paced hand-over -------------------------------------------------------------------------
@@ -768,16 +804,24 @@
 
     /** Sends what may go, highest worth first, holds the rest, or refuses it where holding is of no use. */
     private void pump(double now) {
+        // Where one call found no server, those of its class behind it find none either: the work is bounded.
+        Set<Integer> shut = new HashSet<>();
         for (Held held : new ArrayList<>(queue)) {
+            int kind = 2 * held.callClass + (held.moved ? 1 : 0);
             List<Core> usable = usable(held);
-            Core s = now >= held.notBefore ? choose(held, usable, now) : null;
+            Core s = now >= held.notBefore && !shut.contains(kind) ? choose(held, usable, now) : null;
             if (s != null) {
                 queue.remove(held);
                 if (held.moved) {
-                    s.pacedAt = now + turn() / PACE;
+                    s.pacedAt = now + turn(s) / PACE;
                 }
                 send(held, s, now);
-            } else if (worthHolding(held, usable, now)) {
+                continue;
+            }
+            if (now >= held.notBefore && held.avoid == null && !held.inTransit) {
+                shut.add(kind);
+            }
+            if (worthHolding(held, usable, now)) {
                 held.moved = true;
             } else {
                 refuse(held, now);
@@ -814,7 +858,7 @@
 
     private void callBack(Held held, double now) {
         boolean timeToMove = now + guard + room < held.deadline && held.attempts < maxAttempts;
-        if (mayCancel && timeToMove && !held.cancelling && held.out != null) {
+        if (mayCancel && timeToMove && !held.cancelling && calls.get(held.id) == held) {
             held.cancelling = true;
             act.cancel(held.id, held.attempts - 1);
         }
@@ -868,7 +912,7 @@
             return true;
         }
         double share = warmth < 1 ? warmth * BUDGET_SHARE * settings.tipMultiple().orElse(1) : 1;
-        double rate = Math.min(share, s.squeeze > 0 ? 1 / s.squeeze : share) / turn();
+        double rate = Math.min(share, s.squeeze > 0 ? 1 / s.squeeze : share) / turn(s);
         s.tokens = Math.min(1, Math.max(-1, s.tokens) + rate * (now - s.tokensAt));
         s.tokensAt = now;
         boolean first = warmth < 1 || worths.length < 2;
--- a/src/main/java/damsonseam/Front.java
+++ b/src/main/java/damsonseam/Front.java
@@ -67,10 +67,11 @@
             OptionalDouble toldWait, boolean last, Report report) { }
 
     /** A server's figures of itself, late and inexact; what is not reported is empty. */
-    record Report(OptionalDouble freeLines, OptionalDouble lines, OptionalDouble processorWait) {
+    record Report(OptionalDouble freeLines, OptionalDouble lines, OptionalDouble processorWait,
+            OptionalDouble busy, OptionalDouble waiting) {
         /** A report that says nothing. */
         public static final Report NONE = new Report(OptionalDouble.empty(), OptionalDouble.empty(),
-                OptionalDouble.empty());
+                OptionalDouble.empty(), OptionalDouble.empty(), OptionalDouble.empty());
     }
 
     /** A class of call. {@code servers} holds the numbers it may use; empty when any will do. */
--- a/src/main/java/damsonseam/adapter/Wire.java
+++ b/src/main/java/damsonseam/adapter/Wire.java
@@ -293,7 +293,8 @@
                 values.put(name, value < 0 ? OptionalDouble.empty() : OptionalDouble.of(value));
             }
         }
-        return new Report(value(values, "spare"), value(values, "total"), value(values, "svc_ms"));
+        return new Report(value(values, "spare"), value(values, "total"), value(values, "svc_ms"),
+                value(values, "cpu_share"), value(values, "pending"));
     }
 
     private static OptionalDouble value(Map<String, OptionalDouble> values, String name) {
--- a/src/test/java/damsonseam/EmbedTest.java
+++ b/src/test/java/damsonseam/EmbedTest.java
@@ -57,6 +57,7 @@
         front.serverList(now, true,
                 List.of(new ServerEntry("core-1", 0, OptionalDouble.empty(), State.RUNNING)));
         front.offered(now, new Call(1, "number", 0, 0, 3000, false, false));
+        front.settled(now);
         front.stands(now + 40, 1, "core-1", 0, 40);
         assertEquals(List.of("core-1"), actions.to);
     }
