Lines kept by deviation, turns by call time, gain by turns, simpler silence handling

Causes: (1) each rank left a line for every second front, so with 67 fronts a large server stood a tenth empty; now half a deviation of its lines a rank, and a chance a front where fewer lines are to be had than there are fronts. (2) Turns drifted longer as the whole flow fell: bounded by fronts x mean call time / lines in use. (3) Few answers kept small servers squeezed for minutes: squeezes fall back over 15 s.

--- a/src/main/java/damsonseam/Decide.java
+++ b/src/main/java/damsonseam/Decide.java
@@ -34,16 +34,12 @@
     /** Weight of the newest delay in the estimate, and in the slow figures of what is ordinary. */
     private static final double FAST = 0.5;
     private static final double SLOW = 0.05;
-    /** Fallback: the estimate falls so many ms a ms, as the wait does at a processor that is left alone. */
-    private static final double FALLBACK = 1.0;
-    /** Slowest fallback, above the room: there even one set-up a front is more than a server can take. */
+    /** Slowest fallback, as a share of the ordinary one. */
     private static final double FALLBACK_LEAST = 0.4;
-    /** Set-ups a front may have unanswered at a pressed, cold or unknown server: each answer lets one go. */
-    private static final int PRESSED_WINDOW = 1;
     /** Further set-ups sent into a silence before it counts as a stop for all. */
     private static final int SILENCE_TESTS = 2;
-    /** Most of a server's lines, as a share, that a rank leaves to the next above it. */
-    private static final double KEPT_LINES = 0.05;
+    /** Lines that a rank leaves to the next above it, in deviations of the lines in use. */
+    private static final double KEPT_LINES = 0.5;
     /** Share of the cold budget used: the rest covers uneven fronts and chance. */
     private static final double BUDGET_SHARE = 0.33;
     /** Answers after which a server's own figures count as known. */
@@ -68,9 +64,12 @@
     private static final double MOST_SQUEEZE = 8.0;
     private static final double RELAX = 0.7;
     private static final double FREE = 0.5;
+    /** Span in which a change of turns takes effect: calls sent before it must first be answered. */
+    private static final double EFFECT_SPAN = 2_000.0;
+    /** Span over which a squeezed server's turns fall back to fair ones where no answers tell. */
+    private static final double SQUEEZE_SPAN = 15_000.0;
     /** Reported busy share above which a server has nothing left to give: the noise of reports below all. */
     private static final double BUSY = 0.9;
-    /** The timers. */
     private static final long SWEEP_TOKEN = 1;
     private static final long LIST_TOKEN = 2;
 
@@ -105,7 +104,7 @@
         }
     };
     /** Set-ups found lost, and those sent to a process that has restarted since. */
-    private final List<Held> lost = new ArrayList<>();
+    private final Set<Long> lost = new TreeSet<>();
     /** The longest time that a call of each class was seen to have left. */
     private final double[] usualTime;
     private double beatAt = Double.POSITIVE_INFINITY;
@@ -115,8 +114,10 @@
     private double stood;
     private double span;
     private double stoodAt = Double.NaN;
+    private double callTime;
+    private int callsEnded;
     private double bestWay = Double.POSITIVE_INFINITY;
-    /** Worked out once each moment: the least time to an answer, and what the sizes of all servers come to. */
+    /** Worked out once each moment: the least time to an answer, and what the sizes of all come to. */
     private double lead;
     private double allSizes;
     private double fill;
@@ -137,7 +138,6 @@
         Core out;
         double sentAt;
         boolean cancelling;
-        boolean lost;
         double notBefore;
         Core avoid;
 
@@ -181,6 +181,8 @@
         double tokensAt;
         double squeeze;
         double used;
+        double linesGap;
+        double linesDraw;
         boolean died;
         final boolean[] stopped;
         final Map<Long, Double> unanswered = new LinkedHashMap<>();
@@ -191,7 +193,7 @@
         }
     }
 
-    /** Starts the module of one front. An absent setting is read the careful way. */
+    /** An absent setting is read the careful way. */
     public Decide(Settings settings, Actions actions) {
         this.settings = settings;
         act = actions;
@@ -306,7 +308,7 @@
         }
         held.out = null;
         held.cancelling = false;
-        held.lost = false;
+        lost.remove(held.id);
         held.avoid = s;
         held.moved = true;
         if (e.result() == Result.TIMED_OUT || e.result() == Result.RESET || e.result() == Result.CANCELLED) {
@@ -349,9 +351,7 @@
     }
 
     @Override
-    public void message(double now, int from, byte[] body) {
-        // Fronts decide alone: nothing is sent to others and nothing is believed from them.
-    }
+    public void message(double now, int from, byte[] body) { } // Nothing is believed from other fronts.
 
     @Override
     public void timer(double now, long token) {
@@ -367,8 +367,8 @@
     public void settled(double now) {
         paused(now);
         measure(now);
-        lost.forEach(held -> callBack(held, now));
-        lost.clear();
+        lost.removeIf(id -> !calls.containsKey(id) || calls.get(id).out == null);
+        lost.forEach(id -> callBack(calls.get(id), now));
         for (Core s : servers.values()) {
             watch(s, now);
             if (s.down && mayProbe && now >= s.testedAt + testGap(s) && s.state == State.RUNNING) {
@@ -385,8 +385,8 @@
             }
         }
         pump(now);
-        boolean waiting = !queue.isEmpty() || servers.values().stream().anyMatch(s -> !s.unanswered.isEmpty());
-        if (waiting && beatAt == Double.POSITIVE_INFINITY) {
+        boolean out = servers.values().stream().anyMatch(s -> !s.unanswered.isEmpty());
+        if ((out || !queue.isEmpty()) && beatAt == Double.POSITIVE_INFINITY) {
             beatAt = now + SWEEP;
             act.timer(SWEEP, SWEEP_TOKEN);
         }
@@ -408,8 +408,9 @@
         return Math.max(fallen(s, now), silence(s, now));
     }
 
+    /** Fallback: 1 ms a ms, as at a processor left alone; above the room, where any set-up is much, slower. */
     private double fallen(Core s, double now) {
-        double rate = s.estimate > room ? Math.max(FALLBACK_LEAST, room / s.estimate) : FALLBACK;
+        double rate = s.estimate > room ? Math.max(FALLBACK_LEAST, room / s.estimate) : 1;
         return Math.max(Math.min(s.mean, s.estimate), s.estimate - rate * (now - s.estimateAt));
     }
 
@@ -437,21 +438,13 @@
         s.lowest = Math.min(s.lowest, delay);
         bestWay = Math.min(bestWay, delay);
         double excess = delay - way(s);
-        if (pause > 0 && excess >= onset(s, 0)) {
-            // Some of this wait was our own pause: what is left for sure is all that counts.
-            excess -= pause;
-            if (excess < onset(s, 0)) {
-                return;
-            }
+        if (pause > 0 && excess >= onset(s, 0) && (excess -= pause) < onset(s, 0)) {
+            return; // Some of this wait was our own pause, and what is left for sure tells nothing.
         }
         setEstimate(s, s.samples == 0 ? excess : wait(s, now) + FAST * (excess - wait(s, now)), now);
         s.samples++;
         observe(s, excess, now);
-        if (wait(s, now) < onset(s, 0)) {
-            // An answer that came without a wait shows that a stop is over; until then a release at
-            // abatement would let the fronts go in step.
-            s.releasing = false;
-        }
+        s.releasing &= wait(s, now) >= onset(s, 0);
         if (warmth(s, now) >= 1) {
             // What is ordinary is learnt from waits up to the first onset: pressure must not become ordinary.
             double x = Math.min(excess, onset(s, 0));
@@ -466,7 +459,7 @@
         if (wait >= onset(s, 0)) {
             squeeze(s, wait, now);
         } else if (wait <= abatement(s, 0)) {
-            s.squeeze *= RELAX;
+            s.squeeze *= Math.pow(RELAX, gain(s));
             s.squeeze = s.squeeze < FREE ? 0 : s.squeeze;
         }
     }
@@ -477,7 +470,13 @@
             s.tokens = random.nextDouble();
             s.tokensAt = now;
         }
-        s.squeeze = Math.min(MOST_SQUEEZE, Math.max(1, s.squeeze) * (1 + Math.min(1, wait / room)));
+        s.squeeze = Math.min(MOST_SQUEEZE,
+                Math.max(1, s.squeeze) * Math.pow(1 + Math.min(1, wait / room), gain(s)));
+    }
+
+    /** Many answers in a short time are one piece of news: turns change no faster than they can take effect. */
+    private double gain(Core s) {
+        return Math.min(1, turn(s) / EFFECT_SPAN);
     }
 
     /**
@@ -494,19 +493,11 @@
             if (earlier.getValue() >= before) {
                 return;
             }
-            lose(earlier.getKey());
+            lost.add(earlier.getKey());
             it.remove();
         }
     }
 
-    private void lose(long id) {
-        Held held = calls.get(id);
-        if (held != null) {
-            held.lost = true;
-            lost.add(held);
-        }
-    }
-
     /** The time a set-up takes without a wait; a server never seen unpressed is held to the best one's. */
     private double way(Core s) {
         double way = Math.min(s.lowest, bestWay + ONSET_MOST * room);
@@ -523,7 +514,10 @@
         if (report.freeLines().isPresent()) {
             s.freeLines = report.freeLines().getAsDouble();
             s.lines = report.lines().orElse(s.lines);
-            s.used = Math.max(s.lines - s.freeLines, s.used * Math.exp(Math.min(0, s.linesAt - now) / RATE_SPAN));
+            double before = s.used * Math.exp(Math.min(0, s.linesAt - now) / RATE_SPAN);
+            s.used = Math.max(s.lines - s.freeLines, before);
+            s.linesGap = Math.min(spell(), now - s.linesAt);
+            s.linesDraw = random.nextDouble() * fronts;
             s.linesAt = now;
         }
         // Set-ups waiting there are so many turns of all fronts, longer ones where the server is slow.
@@ -533,23 +527,23 @@
         if (told && (report.busy().orElse(0) < BUSY || wait >= onset(s, 0))) {
             observe(s, wait, now);
         }
-        double more = wait - fallen(s, now);
-        if (more > 0) {
-            setEstimate(s, fallen(s, now) + FAST * more, now);
+        if (wait > fallen(s, now)) {
+            setEstimate(s, fallen(s, now) + FAST * (wait - fallen(s, now)), now);
         }
     }
 
-    /** Free lines by the last news less those taken since; old news that none is free is believed no more. */
-    private double freeLines(Core s, double now) {
-        return s.freeLines > 0 || now < s.linesAt + spell() ? s.freeLines : Double.POSITIVE_INFINITY;
-    }
-
     /**
-     * Guards the worth of calls where lines run short before the processor does: the wait does not show it.
-     * As at the levels of the wait each rank stops before the next, by a line for every second front.
+     * Guards the worth of calls where lines run short before the processor does: the wait does not show it. Each
+     * rank leaves some lines to the next. Where fewer are to be had until the next news than there are fronts,
+     * each goes by a chance of its own. Old news that none is free is believed no more.
      */
-    private double keptLines(Core s, int rank) {
-        return (worths.length - 1 - rank) * Math.min(fronts / 2.0, KEPT_LINES * s.lines);
+    private boolean hasLine(Core s, int rank, double now) {
+        if (s.freeLines <= 0 ? now >= s.linesAt + spell() : s.freeLines == Double.POSITIVE_INFINITY) {
+            return true;
+        }
+        double kept = (worths.length - 1 - rank) * KEPT_LINES * Math.sqrt(s.lines);
+        double freed = callsEnded > 0 ? s.used * s.linesGap / (callTime / callsEnded) : 0;
+        return s.freeLines > kept && s.freeLines - kept + freed > s.linesDraw;
     }
 
     /** What an ending tells of the server. */
@@ -559,6 +553,10 @@
         }
         switch (e.result()) {
             case COMPLETED, ERROR -> {
+                if (e.result() == Result.COMPLETED) {
+                    callTime += e.delay();
+                    callsEnded++;
+                }
                 answered(s, e.call(), e.delay(), now, false);
                 readReport(s, e.report(), now);
             }
@@ -581,7 +579,7 @@
                 }
             }
             case TIMED_OUT, CANCELLED -> {
-                if (wasOut && !calls.get(e.call()).lost) {
+                if (wasOut && !lost.contains(e.call())) {
                     // What the silence had proved stays true when its set-up is given up.
                     setEstimate(s, Math.max(wait(s, now), e.delay() - way(s)), now);
                     squeeze(s, room, now);
@@ -646,17 +644,18 @@
                 s.stopped[r] = false;
             }
         }
-        if (now < s.toldUntil || freeLines(s, now) <= keptLines(s, rank)) {
+        if (now < s.toldUntil || !hasLine(s, rank, now)) {
             return false;
         }
+        // Guards against set-ups sent into an unproved server: one goes, and its answer lets the next.
         s.releasing |= s.stopped[0];
-        boolean careful = s.releasing || s.samples < KNOWN || warmth(s, now) < 1;
-        if (careful && s.unanswered.size() >= PRESSED_WINDOW) {
-            // Only silence stops it: one or two more test whether the silent set-up was merely lost.
-            return fallen(s, now) < onset(s, 0) && s.unanswered.size() <= SILENCE_TESTS
-                    && now - s.sentAt > way(s) + onset(s, 0);
+        boolean careful = s.releasing || warmth(s, now) < 1 || s.samples < KNOWN;
+        if (!s.stopped[rank] && !(careful && !s.unanswered.isEmpty())) {
+            return true;
         }
-        return !s.stopped[rank];
+        // Only silence stops it: one or two more test whether the silent set-up was merely lost.
+        return s.squeeze <= 1 && !s.unanswered.isEmpty() && s.unanswered.size() <= SILENCE_TESTS
+                && fallen(s, now) < onset(s, 0) && now - s.sentAt > way(s) + onset(s, 0);
     }
 
     /** A call's rank: the place of the worth that it can still earn; after its aim that is its late worth. */
@@ -741,20 +740,22 @@
     }
 
     /**
-     * The time between set-ups of this front at one server if all fronts alike kept it at its ordinary share of
-     * what stands: its fair turn. Lines in use show these shares at once and to all fronts alike. Allowances are
-     * counted in turns, so that those of all fronts add up to what the servers can do, be they 5 or 500.
+     * The fair turn: the time between set-ups of this front at one server if all fronts alike kept it at its
+     * ordinary share of what stands. Lines in use show these shares at once and to all fronts. Allowances
+     * are counted in turns, so that those of all fronts add up to what a server can do, be they 5 or 500.
      */
     private double turn(Core s) {
-        return Math.max(1, allSizes / size(s)) * Math.max(span, room) / Math.max(1, stood);
+        double byOwn = Math.max(1, allSizes / size(s)) * Math.max(span, room) / Math.max(1, stood);
+        return fill > 0 && callsEnded > 0 ? Math.min(byOwn, fronts * callTime / callsEnded / size(s)) : byOwn;
     }
 
-    /** Most lines lately in use; of a server that is cold what it should have by its lines; else all alike. */
+    /** Most lines lately in use; at a new server what it should have by its lines; unknown: all alike. */
     private double size(Core s) {
         if (fill <= 0 || s.lines == Double.POSITIVE_INFINITY) {
             return 1;
         }
-        return Math.max(1, s.startedAt == Double.NEGATIVE_INFINITY ? s.used : Math.max(s.used, fill * s.lines));
+        boolean fresh = s.startedAt > Double.NEGATIVE_INFINITY;
+        return Math.max(1, fresh ? Math.max(s.used, fill * s.lines) : s.used);
     }
 
     private void measure(double now) {
@@ -858,7 +859,7 @@
 
     private void callBack(Held held, double now) {
         boolean timeToMove = now + guard + room < held.deadline && held.attempts < maxAttempts;
-        if (mayCancel && timeToMove && !held.cancelling && held.out != null && calls.get(held.id) == held) {
+        if (mayCancel && timeToMove && !held.cancelling) {
             held.cancelling = true;
             act.cancel(held.id, held.attempts - 1);
         }
@@ -866,11 +867,7 @@
 
     /** Guards against many calls for one number: while its lines are busy, each set-up for it is wasted. */
     private boolean numberBusy(String number, double now) {
-        Double until = busyNumbers.get(number);
-        if (until != null && now >= until) {
-            busyNumbers.remove(number);
-        }
-        return until != null && now < until;
+        return now < busyNumbers.getOrDefault(number, Double.NEGATIVE_INFINITY);
     }
 
     private boolean elsewhere(Held held, double now) {
@@ -891,7 +888,7 @@
         s.tokens = random.nextDouble();
         s.tokensAt = now;
         s.squeeze = 0;
-        s.unanswered.keySet().forEach(this::lose);
+        lost.addAll(s.unanswered.keySet());
         s.unanswered.clear();
         setEstimate(s, s.mean, now);
     }
@@ -904,13 +901,14 @@
 
     /**
      * The turns of a server that is cold or squeezed: a cold one gets a fair share as its warmth allows, a
-     * squeezed one as often as its answers showed it to bear. As at the levels, each rank stops before the next.
+     * squeezed one what its answers showed it to bear. As at the levels, each rank stops before the next.
      */
     private boolean mayPush(Core s, int rank, double now) {
         double warmth = warmth(s, now);
         if (warmth >= 1 && s.squeeze == 0) {
             return true;
         }
+        s.squeeze -= Math.max(0, s.squeeze - 1) * (1 - Math.exp((s.tokensAt - now) / SQUEEZE_SPAN));
         double share = warmth < 1 ? warmth * BUDGET_SHARE * settings.tipMultiple().orElse(1) : 1;
         double rate = Math.min(share, s.squeeze > 0 ? 1 / s.squeeze : share) / turn(s);
         s.tokens = Math.min(1, Math.max(-1, s.tokens) + rate * (now - s.tokensAt));
--- a/src/main/java/damsonseam/Front.java
+++ b/src/main/java/damsonseam/Front.java
@@ -41,8 +41,8 @@
     void timer(double now, long token);
 
     /**
-     * All events of this moment have been handed over. The module sends, refuses and calls back here only, so
-     * that it never acts on half the news of a moment; call it after each event, or after all that came at once.
+     * All events of this moment have been handed over. The module sends and calls back here only, so that it
+     * never acts on half the news of a moment; call it after each event, or after all that came at once.
      */
     void settled(double now);
 
