--- a/src/main/java/damsonseam/Decide.java
+++ b/src/main/java/damsonseam/Decide.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
@@ -39,7 +40,7 @@
     /** Further set-ups sent into a silence before it counts as a stop for all. */
     private static final int SILENCE_TESTS = 2;
     /** Lines that a rank leaves to the next above it, in deviations of the lines in use. */
-    private static final double KEPT_LINES = 0.5;
+    private static final double KEPT_LINES = 0.25;
     /** Share of the cold budget used: the rest covers uneven fronts and chance. */
     private static final double BUDGET_SHARE = 0.33;
     /** Answers after which a server's own figures count as known. */
@@ -58,7 +59,7 @@
     private static final int MOST_NUMBERS = 1_000;
     /** Servers remembered before those that are gone are forgotten: one may return and is known then. */
     private static final int MOST_SERVERS = 100;
-    /** Time before a failed request for the list is repeated: under the seconds by which news is late. */
+    /** Time before a failed request for the list is repeated: no flood, yet under the lateness of news. */
     private static final double LIST_AGAIN = 1_000.0;
     /** Longest turn at a squeezed server in fair turns; what a quick answer leaves of it; when it ends. */
     private static final double MOST_SQUEEZE = 8.0;
@@ -94,15 +95,9 @@
     private final Map<Long, Held> calls = new LinkedHashMap<>();
     private final TreeSet<Held> queue = new TreeSet<>(Comparator.comparingInt((Held c) -> -c.rank)
             .thenComparingDouble(c -> -c.arrived).thenComparingLong(c -> c.id));
-    /** Numbers lately found busy, the oldest first, and until when they are taken to be. */
-    private final Map<String, Double> busyNumbers = new LinkedHashMap<>(16, 0.75f, false) {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Double> eldest) {
-            return size() > MOST_NUMBERS;
-        }
-    };
+    /** Numbers whose lines are all busy, and numbers of callers left without service, who dial again. */
+    private final Recent busyNumbers = new Recent();
+    private final Recent unserved = new Recent();
     /** Set-ups found lost, and those sent to a process that has restarted since. */
     private final Set<Long> lost = new TreeSet<>();
     /** The longest time that a call of each class was seen to have left. */
@@ -122,6 +117,20 @@
     private double allSizes;
     private double fill;
 
+    /** Numbers and until when something is taken to hold for them, in a bounded table, the oldest first. */
+    private static final class Recent extends LinkedHashMap<String, Double> {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Double> eldest) {
+            return size() > MOST_NUMBERS;
+        }
+
+        boolean has(String number, double now) {
+            return now < getOrDefault(number, Double.NEGATIVE_INFINITY);
+        }
+    }
+
     /** One call that this front owes an answer. */
     private static final class Held {
         final long id;
@@ -254,7 +263,6 @@
 
     @Override
     public void listFailed(double now) {
-        // Asked again after a while only: a list service that turns requests away is not to be flooded.
         act.timer(LIST_AGAIN, LIST_TOKEN);
     }
 
@@ -262,15 +270,16 @@
     public void offered(double now, Call call) {
         paused(now);
         CallClass c = settings.classes().get(call.callClass());
-        if (numberBusy(call.number(), now)) {
+        // Guards against many calls for one number: while its lines are busy, a set-up for it is wasted.
+        if (busyNumbers.has(call.number(), now)) {
             act.refuse(call.id(), returnAdvice());
             return;
         }
         // A front that stood still is handed its calls late: their time left is short of the usual by that.
         usualTime[call.callClass()] = Math.max(usualTime[call.callClass()], call.timeLeft());
-        double age = usualTime[call.callClass()] - call.timeLeft();
+        double age = Math.min(pause, usualTime[call.callClass()] - call.timeLeft());
         Held held = new Held(call, now, now + call.timeLeft() - margin,
-                call.redialled() ? now : now + aim(c) - age);
+                call.redialled() || unserved.has(call.number(), now) ? now : now + aim(c) - age);
         calls.put(held.id, held);
         queue.add(held);
     }
@@ -319,6 +328,7 @@
                 || Math.max(now, held.notBefore) >= held.deadline || held.inTransit;
         if (hopeless) {
             calls.remove(held.id);
+            unserved(held);
             act.fail(held.id);
         } else {
             queue.add(held);
@@ -331,6 +341,7 @@
         Held held = calls.remove(call);
         if (held != null) {
             queue.remove(held);
+            unserved(held);
         }
     }
 
@@ -408,7 +419,7 @@
         return Math.max(fallen(s, now), silence(s, now));
     }
 
-    /** Fallback: 1 ms a ms, as at a processor left alone; above the room, where any set-up is much, slower. */
+    /** Fallback: 1 ms a ms, as at a processor left alone; above the room slower, as any set-up is much. */
     private double fallen(Core s, double now) {
         double rate = s.estimate > room ? Math.max(FALLBACK_LEAST, room / s.estimate) : 1;
         return Math.max(Math.min(s.mean, s.estimate), s.estimate - rate * (now - s.estimateAt));
@@ -416,10 +427,7 @@
 
     /** Age of the oldest unanswered set-up above the way there: a lower bound of the wait. */
     private double silence(Core s, double now) {
-        if (s.unanswered.isEmpty()) {
-            return 0;
-        }
-        double oldest = s.unanswered.values().iterator().next();
+        double oldest = s.unanswered.isEmpty() ? now : s.unanswered.values().iterator().next();
         return Math.max(0, now - asleep - oldest - way(s));
     }
 
@@ -443,7 +451,7 @@
         }
         setEstimate(s, s.samples == 0 ? excess : wait(s, now) + FAST * (excess - wait(s, now)), now);
         s.samples++;
-        observe(s, excess, now);
+        observe(s, excess, RELAX, now);
         s.releasing &= wait(s, now) >= onset(s, 0);
         if (warmth(s, now) >= 1) {
             // What is ordinary is learnt from waits up to the first onset: pressure must not become ordinary.
@@ -455,11 +463,11 @@
     }
 
     /** Whether a server bears what it gets: its turns grow longer past onset, and shorter below abatement. */
-    private void observe(Core s, double wait, double now) {
+    private void observe(Core s, double wait, double relax, double now) {
         if (wait >= onset(s, 0)) {
             squeeze(s, wait, now);
         } else if (wait <= abatement(s, 0)) {
-            s.squeeze *= Math.pow(RELAX, gain(s));
+            s.squeeze *= Math.pow(relax, gain(s));
             s.squeeze = s.squeeze < FREE ? 0 : s.squeeze;
         }
     }
@@ -474,7 +482,7 @@
                 Math.max(1, s.squeeze) * Math.pow(1 + Math.min(1, wait / room), gain(s)));
     }
 
-    /** Many answers in a short time are one piece of news: turns change no faster than they can take effect. */
+    /** Many answers in a short time are one piece of news: turns change as fast as they can take effect. */
     private double gain(Core s) {
         return Math.min(1, turn(s) / EFFECT_SPAN);
     }
@@ -521,11 +529,11 @@
             s.linesAt = now;
         }
         // Set-ups waiting there are so many turns of all fronts, longer ones where the server is slow.
-        double queued = report.waiting().orElse(0) * turn(s) * Math.max(1, s.squeeze) / fronts;
-        double wait = report.processorWait().orElse(queued);
+        double each = Math.min(1, report.busy().orElse(1)) * turn(s) * Math.max(1, s.squeeze) / fronts;
+        double wait = report.processorWait().orElse(report.waiting().orElse(0) * each);
         boolean told = report.processorWait().isPresent() || report.waiting().isPresent();
         if (told && (report.busy().orElse(0) < BUSY || wait >= onset(s, 0))) {
-            observe(s, wait, now);
+            observe(s, wait, Math.min(RELAX, report.busy().orElse(RELAX) / BUSY), now);
         }
         if (wait > fallen(s, now)) {
             setEstimate(s, fallen(s, now) + FAST * (wait - fallen(s, now)), now);
@@ -533,9 +541,9 @@
     }
 
     /**
-     * Guards the worth of calls where lines run short before the processor does: the wait does not show it. Each
-     * rank leaves some lines to the next. Where fewer are to be had until the next news than there are fronts,
-     * each goes by a chance of its own. Old news that none is free is believed no more.
+     * Guards the worth of calls where lines run short before the processor does: the wait does not show it.
+     * Each rank leaves some lines to the next. Where fewer are to be had until the next news than there are
+     * fronts, each goes by a chance of its own. Old news that none is free is believed no more.
      */
     private boolean hasLine(Core s, int rank, double now) {
         if (s.freeLines <= 0 ? now >= s.linesAt + spell() : s.freeLines == Double.POSITIVE_INFINITY) {
@@ -625,10 +633,6 @@
         return first + (room - first) * rank / worths.length;
     }
 
-    private double discard(Core s, int rank) {
-        return onset(s, rank + 1);
-    }
-
     private double abatement(Core s, int rank) {
         double low = Math.min(s.mean, onset(s, 0));
         return low + ABATE * (onset(s, rank) - low);
@@ -751,11 +755,8 @@
 
     /** Most lines lately in use; at a new server what it should have by its lines; unknown: all alike. */
     private double size(Core s) {
-        if (fill <= 0 || s.lines == Double.POSITIVE_INFINITY) {
-            return 1;
-        }
-        boolean fresh = s.startedAt > Double.NEGATIVE_INFINITY;
-        return Math.max(1, fresh ? Math.max(s.used, fill * s.lines) : s.used);
+        double ordinary = s.startedAt > Double.NEGATIVE_INFINITY ? Math.max(s.used, fill * s.lines) : s.used;
+        return fill <= 0 || s.lines == Double.POSITIVE_INFINITY ? 1 : Math.max(1, ordinary);
     }
 
     private void measure(double now) {
@@ -785,7 +786,7 @@
             return false;
         }
         for (Core s : usable) {
-            if (s.down || wait(s, now) < discard(s, held.rank)) {
+            if (s.down || wait(s, now) < onset(s, held.rank + 1)) {
                 return true;
             }
         }
@@ -795,9 +796,16 @@
     private void refuse(Held held, double now) {
         queue.remove(held);
         calls.remove(held.id);
+        unserved(held);
         act.refuse(held.id, returnAdvice());
     }
 
+    /** A caller who got no service dials again, marked or not, and is late by then. */
+    private void unserved(Held held) {
+        OptionalDouble deadline = settings.classes().get(held.callClass).deadline();
+        unserved.putIfAbsent(held.number, held.arrived + deadline.orElse(UNSET_AIM));
+    }
+
     /** Redials are spread, or they come back in step. */
     private double returnAdvice() {
         return settings.maxReturnAdvice().orElse(0) * (0.5 + 0.5 * random.nextDouble());
@@ -865,11 +873,6 @@
         }
     }
 
-    /** Guards against many calls for one number: while its lines are busy, each set-up for it is wasted. */
-    private boolean numberBusy(String number, double now) {
-        return now < busyNumbers.getOrDefault(number, Double.NEGATIVE_INFINITY);
-    }
-
     private boolean elsewhere(Held held, double now) {
         for (Core s : usable(held)) {
             if (s != held.out && !s.down && open(s, held.rank, now)) {
@@ -913,7 +916,6 @@
         double rate = Math.min(share, s.squeeze > 0 ? 1 / s.squeeze : share) / turn(s);
         s.tokens = Math.min(1, Math.max(-1, s.tokens) + rate * (now - s.tokensAt));
         s.tokensAt = now;
-        boolean first = warmth < 1 || worths.length < 2;
-        return s.tokens >= (first ? 1 : 1 - rank / (worths.length - 1.0));
+        return s.tokens >= (warmth < 1 || worths.length < 2 ? 1 : 1 - rank / (worths.length - 1.0));
     }
 }
--- a/src/test/java/damsonseam/DecideTest.java
+++ b/src/test/java/damsonseam/DecideTest.java
@@ -367,6 +367,24 @@
         assertEquals("a", s.sentTo(s.offer(0, 0)));
     }
 
+    @Test
+    void aCallerWhoWasRefusedAndDialsAgainIsLateThoughNothingMarksIt() {
+        Script s = known();
+        s.wait("a", 700);
+        s.wait("b", 700);
+        assertTrue(s.isRefused(s.offerTo("7", 0)));
+        for (int i = 0; i < 6; i++) {
+            s.run(1000);
+            s.standing(0, QUICK);
+            s.standing(1, QUICK);
+        }
+        s.run(1500);
+        s.lines("a", 22, 1000);
+        s.lines("b", 22, 1000);
+        assertFalse(s.isOut(s.offerTo("7", 0)));
+        assertTrue(s.isOut(s.offerTo("8", 0)));
+    }
+
     @Test
     void attemptsAreCapped() {
         Script s = known();
