--- a/src/main/java/damsonseam/Decide.java
+++ b/src/main/java/damsonseam/Decide.java
@@ -7,7 +7,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
@@ -42,7 +41,7 @@
     /** Lines that a rank leaves to the next above it, in deviations of the lines in use. */
     private static final double KEPT_LINES = 0.25;
     /** Share of the cold budget used: the rest covers uneven fronts and chance. */
-    private static final double BUDGET_SHARE = 0.33;
+    private static final double BUDGET_SHARE = 0.25;
     /** Answers after which a server's own figures count as known. */
     private static final int KNOWN = 10;
     /** Held and moved calls reach one server at so many times its ordinary rate from this front. */
@@ -190,6 +189,7 @@
         double tokensAt;
         double squeeze;
         double used;
+        double draw;
         double linesGap;
         double linesDraw;
         boolean died;
@@ -642,11 +642,7 @@
     private boolean open(Core s, int rank, double now) {
         double wait = wait(s, now);
         for (int r = 0; r < s.stopped.length; r++) {
-            if (wait >= onset(s, r)) {
-                s.stopped[r] = true;
-            } else if (wait <= abatement(s, r)) {
-                s.stopped[r] = false;
-            }
+            s.stopped[r] = wait >= onset(s, r) || s.stopped[r] && wait > abatement(s, r);
         }
         if (now < s.toldUntil || !hasLine(s, rank, now)) {
             return false;
@@ -707,14 +703,17 @@
         if (first != null) {
             return first;
         }
-        if (open.size() > 1) {
-            open.remove(held.avoid);
-        }
         if (open.isEmpty()) {
             return test(held, usable, now);
         }
-        Core one = open.get(random.nextInt(open.size()));
-        Core two = open.get(random.nextInt(open.size()));
+        if (open.size() > 1) {
+            open.remove(held.avoid);
+        }
+        // Drawn by ordinary shares: what a large server can't take would push over a small one.
+        open.forEach(s -> s.draw = -Math.log(1 - random.nextDouble()) / size(s));
+        open.sort(Comparator.comparingDouble(s -> s.draw));
+        Core one = open.get(0);
+        Core two = open.get(Math.min(1, open.size() - 1));
         return two.unanswered.size() < one.unanswered.size() ? two : one;
     }
 
@@ -802,8 +801,8 @@
 
     /** A caller who got no service dials again, marked or not, and is late by then. */
     private void unserved(Held held) {
-        OptionalDouble deadline = settings.classes().get(held.callClass).deadline();
-        unserved.putIfAbsent(held.number, held.arrived + deadline.orElse(UNSET_AIM));
+        unserved.putIfAbsent(held.number, held.arrived
+                + settings.classes().get(held.callClass).deadline().orElse(UNSET_AIM));
     }
 
     /** Redials are spread, or they come back in step. */
--- a/src/test/java/damsonseam/DecideTest.java
+++ b/src/test/java/damsonseam/DecideTest.java
@@ -385,6 +385,30 @@
         assertTrue(s.isOut(s.offerTo("8", 0)));
     }
 
+    @Test
+    void whatALargeServerCannotTakeSparesTheSmallOnes() {
+        Script s = new Script(Script.settings().build()).servers("full", "large", "small");
+        s.lines("full", 0, 1000);
+        s.lines("large", 200, 1000);
+        s.lines("small", 40, 50);
+        for (int i = 0; i < 60; i++) {
+            for (int server = 1; server < 3; server++) {
+                s.standing(server, QUICK);
+            }
+        }
+        int large = 0;
+        for (int i = 0; i < 40; i++) {
+            s.lines("full", 0, 1000);
+            s.lines("large", 200, 1000);
+            s.lines("small", 40, 50);
+            long call = s.offer(1, 0);
+            large += "large".equals(s.sentTo(call)) ? 1 : 0;
+            s.run(QUICK);
+            s.stand(call, QUICK);
+        }
+        assertTrue(large >= 35, large + " of 40");
+    }
+
     @Test
     void attemptsAreCapped() {
         Script s = known();
