Quick answers restore the budget as far as one set-up of each front fits in the room

Cause: a cold or squeezed server of a small deployment bore far more than its turns gave it. May harm where quick answers come from losing calls.

--- a/src/main/java/damsonseam/Decide.java
+++ b/src/main/java/damsonseam/Decide.java
@@ -453,6 +453,8 @@
         s.samples++;
         observe(s, excess, RELAX, now);
         s.releasing &= wait(s, now) >= onset(s, 0);
+        // It bears what it gets: the next may go as far as one set-up of each front fits in the room.
+        s.tokens += wait(s, now) < onset(s, 0) ? Math.min(1, warmth(s, now) * room / turn(s)) : 0;
         if (warmth(s, now) >= 1) {
             // What is ordinary is learnt from waits up to the first onset: pressure must not become ordinary.
             double x = Math.min(excess, onset(s, 0));
