--- a/src/main/java/damsonseam/Decide.java
+++ b/src/main/java/damsonseam/Decide.java
@@ -29,8 +29,6 @@
     /** The first onset lies at least and at most at these shares of the room: levels must stay apart. */
     private static final double ONSET_LEAST = 0.2;
     private static final double ONSET_MOST = 0.5;
-    /** Abatement, as a share of the way from the ordinary wait up to onset. */
-    private static final double ABATE = 0.5;
     /** Weight of the newest delay in the estimate, and in the slow figures of what is ordinary. */
     private static final double FAST = 0.5;
     private static final double SLOW = 0.05;
@@ -635,9 +633,10 @@
         return first + (room - first) * rank / worths.length;
     }
 
+    /** Abatement lies half way from the ordinary wait up to onset. */
     private double abatement(Core s, int rank) {
         double low = Math.min(s.mean, onset(s, 0));
-        return low + ABATE * (onset(s, rank) - low);
+        return (low + onset(s, rank)) / 2;
     }
 
     /** Whether a server takes calls of this rank, by its levels alone. */
@@ -814,25 +813,25 @@
 
     /** Sends what may go, highest worth first, holds the rest, or refuses it where holding is of no use. */
     private void pump(double now) {
-        // Where one call found no server, those of its class behind it find none either: the work is bounded.
+        // Where one call must be held, those of its kind behind it must be too: the work is bounded.
         Set<Integer> shut = new HashSet<>();
         for (Held held : new ArrayList<>(queue)) {
-            int kind = 2 * held.callClass + (held.moved ? 1 : 0);
+            int kind = 2 * (held.callClass * worths.length + held.rank) + (held.moved ? 1 : 0);
+            if (shut.contains(kind) && now < held.deadline - room) {
+                held.moved = true;
+                continue;
+            }
             List<Core> usable = usable(held);
-            Core s = now >= held.notBefore && !shut.contains(kind) ? choose(held, usable, now) : null;
+            Core s = now >= held.notBefore ? choose(held, usable, now) : null;
             if (s != null) {
                 queue.remove(held);
-                if (held.moved) {
-                    s.pacedAt = now + turn(s) / PACE;
-                }
+                s.pacedAt = held.moved ? now + turn(s) / PACE : s.pacedAt;
                 send(held, s, now);
-                continue;
-            }
-            if (now >= held.notBefore && held.avoid == null && !held.inTransit) {
-                shut.add(kind);
-            }
-            if (worthHolding(held, usable, now)) {
+            } else if (worthHolding(held, usable, now)) {
                 held.moved = true;
+                if (now >= held.notBefore && held.avoid == null && !held.inTransit) {
+                    shut.add(kind);
+                }
             } else {
                 refuse(held, now);
             }
