--- a/src/main/java/damsonseam/Decide.java
+++ b/src/main/java/damsonseam/Decide.java
@@ -60,7 +60,7 @@
     private static final double LIST_AGAIN = 1_000.0;
     /** Longest turn at a squeezed server in fair turns; what a quick answer leaves of it; when it ends. */
     private static final double MOST_SQUEEZE = 8.0;
-    private static final double RELAX = 0.7;
+    private static final double RELAX = 0.6;
     private static final double FREE = 0.5;
     /** Span in which a change of turns takes effect: calls sent before it must first be answered. */
     private static final double EFFECT_SPAN = 2_000.0;
@@ -678,7 +678,7 @@
         List<Core> list = new ArrayList<>();
         for (Core s : servers.values()) {
             boolean may = held.inTransit ? s.number == held.firstChoice
-                    : s.number != own && (allowed.isEmpty() || allowed.contains(s.number));
+                    : (own < 0 || s.number != own) && (allowed.isEmpty() || allowed.contains(s.number));
             if (may && s.state == State.RUNNING) {
                 list.add(s);
             }
--- a/src/main/java/damsonseam/adapter/Wire.java
+++ b/src/main/java/damsonseam/adapter/Wire.java
@@ -178,7 +178,7 @@
         String server = line.word("the server");
         OptionalDouble launched = line.optional("the start time");
         line.optional("the machine kind");
-        int cell = (int) line.number("the pool number");
+        int cell = (int) line.optional("the pool number").orElse(-1);
         line.optional("the zone");
         line.optional("the scale");
         State state = switch (line.word("the health")) {
--- a/src/test/java/damsonseam/adapter/WireTest.java
+++ b/src/test/java/damsonseam/adapter/WireTest.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.io.StringReader;
 import java.io.StringWriter;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /** The adapter on text batches. */
@@ -85,6 +86,29 @@
         assertEquals("done\n", reply);
     }
 
+    @Test
+    void anEntryWithoutKindUnitOrZoneIsOrdinaryInput() {
+        String bare = "manifest 3 1\nitem server.c - - - - - on\nroster_change 0 snapshot 5 3\n";
+        String wide = BOOT.replace(" FamilyInfo.SkilledPools.0=0,1", "");
+        String reply = run("turn 10.0\n" + wide + bare + order(7, 0) + "flush\n");
+        assertTrue(reply.startsWith("issue 0 7 server.c "), reply);
+    }
+
+    @Test
+    void aReportWithoutOneOfItsFiguresIsOrdinaryInput() {
+        for (String report : List.of("spare:4,total:9,pending:3", "cpu_share:0.5", "pending:-", "-")) {
+            String reply = started(order(7, 0) + "result 0 7 0 18.5 - server.a 1 ok " + report + "\n");
+            assertTrue(reply.startsWith("issue 0 7 ") && reply.endsWith("done\n"), report);
+        }
+    }
+
+    @Test
+    void aClockThatJumpsAheadBySecondsIsOrdinaryInput() {
+        String reply = run("turn 10.0\n" + BOOT + LIST + order(7, 0) + "flush\nturn 5010.0\ntick_due 0 1\n"
+                + "result 0 7 0 2990.0 - server.a 0 timeout -\n" + order(8, 1) + "flush\n");
+        assertTrue(reply.contains("fail 0 7") && reply.contains("issue 0 8 server.b "), reply);
+    }
+
     @Test
     void aFullProcessorSendsTheCallElsewhereAtOnce() {
         String reply = run("turn 10.0\n" + BOOT + LIST + order(7, 0)
