Rule 5: the guard runs from the proof that the server has the release

Change: an attempt that is given up counts as out until its release is complete (RLC, a crossing REL, a reset or a lost connection), at most for trunks.releaseWait (100 ms); only then the module hears of its end and starts the guard. Attempts cut by a connection that this side closes are told of after the same wait. Module untouched.

--- a/src/main/java/damsonseam/bench/MemoryBench.java
+++ b/src/main/java/damsonseam/bench/MemoryBench.java
@@ -48,7 +48,7 @@
         }
         List<Long> lookups = new ArrayList<>();
         // The simplest module that sends: what is measured is the path, and the real one holds no standing calls.
-        Router router = new Router(new RouterSettings(settings.forModule(1), 2 * count, 5, 20),
+        Router router = new Router(new RouterSettings(settings.forModule(1), 2 * count, 5, 100, 20),
                 a -> new Decide(settings.forModule(1), a), new CallTable(2 * count, 1), timers,
                 (call, number, deadline) -> lookups.add(call), trunks, trunks, Story.NONE);
         trunks.router = router;
@@ -117,6 +117,11 @@
                                     OptionalDouble toldWait, Report report) {
                                 router.ended(now, call, attempt, result, reason, toldWait, report);
                             }
+
+                            @Override
+                            public void released(double now, long call, int attempt) {
+                                router.released(now, call, attempt);
+                            }
                         }));
                 groups.get(id).connectionUp(0);
             }
--- a/src/main/java/damsonseam/config/FrontSettings.java
+++ b/src/main/java/damsonseam/config/FrontSettings.java
@@ -36,7 +36,7 @@
         Check.need(directory, "directory");
         Check.that(classes != null && !classes.isEmpty(), "classes: expected one class at least");
         Check.that(numbers != null && !numbers.isEmpty(), "numbers: expected one prefix at least");
-        trunks = Check.or(trunks, new Trunks(null, null, null, null, null, null, null));
+        trunks = Check.or(trunks, new Trunks(null, null, null, null, null, null, null, null));
         fleet = Check.or(fleet, new Fleet(null, null, null, null, null, null, null, null, null, null));
         limits = Check.or(limits, new Limits(null, null, null, null, null, null));
         for (NumberRange range : numbers) {
@@ -163,9 +163,11 @@
      * @param t5 a circuit still not released is reset
      * @param t17 a reset not completed is sent again
      * @param connectTimeout time in which a connection must be made
+     * @param releaseWait how long the release complete of an attempt given up is awaited before the guard of
+     *     {@code fleet.releaseGuard} runs without it; the longest way of a message to a calculator
      */
     public record Trunks(Integer circuits, Span probeTimeout, Span heartbeat, Span t1, Span t5, Span t17,
-            Span connectTimeout) {
+            Span connectTimeout, Span releaseWait) {
         /** Checks; the timers are Q.764's. */
         public Trunks {
             circuits = Check.within(Check.or(circuits, 512), 1, 4095, "circuits");
@@ -175,6 +177,7 @@
             t5 = Check.or(t5, Span.ms(300_000));
             t17 = Check.or(t17, Span.ms(300_000));
             connectTimeout = Check.or(connectTimeout, Span.ms(500));
+            releaseWait = Check.or(releaseWait, Span.ms(100));
             Check.that(t5.ms() >= t1.ms(), "t5: expected at least t1");
         }
     }
--- a/src/main/java/damsonseam/core/CallRecord.java
+++ b/src/main/java/damsonseam/core/CallRecord.java
@@ -1,5 +1,7 @@
 package damsonseam.core;
 
+import damsonseam.Front.Result;
+
 /**
  * One call from its question to its release. The phases go one way only; each is entered once but for
  * {@code TRYING}, which counts its attempts. A change that the state machine does not have is a defect of the
@@ -22,6 +24,8 @@
     private String server;
     private boolean out;
     private double sentAt;
+    private Result releasing;
+    private double releasedAt;
     private Timers.Timer deadlineTimer;
     private Timers.Timer attemptTimer;
 
@@ -106,10 +110,28 @@
     void attemptOver() {
         require(out, "the end of an attempt that is not out");
         out = false;
+        releasing = null;
+    }
+
+    /** The attempt is given up with this result; it counts as out until its release is proved or waited out. */
+    void release(Result as, double now) {
+        require(out && releasing == null, "a release of an attempt that is not out");
+        releasing = as;
+        releasedAt = now;
+    }
+
+    /** What an attempt that is being released ends in, else null. */
+    Result releasing() {
+        return releasing;
+    }
+
+    /** When the attempt that is being released was given up. */
+    double releasedAt() {
+        return releasedAt;
     }
 
     void stand() {
-        require(out, "a call that stands without an attempt");
+        require(out && releasing == null, "a call that stands without an attempt");
         out = false;
         move(Phase.TRYING, Phase.STANDING);
     }
--- a/src/main/java/damsonseam/core/Counters.java
+++ b/src/main/java/damsonseam/core/Counters.java
@@ -20,6 +20,8 @@
     public long notSent;
     /** Attempts abandoned in silence. */
     public long timedOut;
+    /** Releases whose proof did not come in the time it is waited for. */
+    public long unprovedReleases;
     /** Attempts called off by the module. */
     public long cancelled;
     /** Longest pause of the loop, in milliseconds. */
--- a/src/main/java/damsonseam/core/Ports.java
+++ b/src/main/java/damsonseam/core/Ports.java
@@ -28,8 +28,9 @@
         NotSent setUp(double now, String server, long call, int attempt, CallRecord record);
 
         /**
-         * Releases what an attempt holds; no event follows. Returns the time at which the release went out,
-         * from which the guard of its call runs: it may be later than the moment that asked for it.
+         * Releases what an attempt holds; {@link Router#released} follows once the far side has proved that it
+         * has the release, if it ever does. Returns the time at which the release went out, which may be later
+         * than the moment that asked for it.
          */
         double release(double now, String server, long call, int attempt, boolean timedOut);
 
--- a/src/main/java/damsonseam/core/Router.java
+++ b/src/main/java/damsonseam/core/Router.java
@@ -228,7 +228,7 @@
     public void stands(double at, long id, int attempt, Report report) {
         clock(at);
         CallRecord call = calls.get(id);
-        if (call == null || !call.out() || !call.isAttempt(attempt)) {
+        if (call == null || !call.out() || call.releasing() != null || !call.isAttempt(attempt)) {
             return;
         }
         if (now > call.deadline()) {
@@ -264,12 +264,13 @@
     private void end(CallRecord call, int attempt, Result result, Reason reason, OptionalDouble toldWait,
             Report report) {
         boolean last = call.phase() == Phase.STANDING;
+        double took = (call.releasing() == null ? now : call.releasedAt()) - call.sentAt();
         timers.cancel(call.swapAttemptTimer(null));
         if (!last) {
             call.attemptOver();
         }
         story.step(now, call, "ended", call.server() + " " + result);
-        module.ended(now, new Ending(call.id(), call.server(), attempt, now - call.sentAt(), result, reason,
+        module.ended(now, new Ending(call.id(), call.server(), attempt, took, result, reason,
                 toldWait, last, report));
         heard();
         if (last) {
@@ -278,14 +279,35 @@
         }
     }
 
+    /**
+     * Gives an attempt up. The module hears of its end only when the server has completed the release, or after
+     * the time that one is waited for: the guard before the next set-up then runs from a moment at which the
+     * server certainly, or as good as certainly, had the release. Guards against a way that is slower for the
+     * release than for the set-up that follows it to another server.
+     */
     private void abandoned(CallRecord call, int attempt, Result result) {
+        call.release(result, now);
         clock(trunks.release(now, call.server(), call.id(), attempt, result == Result.TIMED_OUT));
-        end(call, attempt, result, Reason.NONE, OptionalDouble.empty(), Report.NONE);
+        timers.cancel(call.swapAttemptTimer(timers.set(now + settings.releaseWait(), at -> {
+            counters.unprovedReleases++;
+            released(at, call.id(), attempt);
+        })));
+    }
+
+    /** The server has a release, or was given long enough for it; passed over where nothing is being released. */
+    public void released(double at, long id, int attempt) {
+        clock(at);
+        CallRecord call = calls.get(id);
+        if (call != null && call.out() && call.releasing() != null && call.isAttempt(attempt)) {
+            end(call, attempt, call.releasing(), Reason.NONE, OptionalDouble.empty(), Report.NONE);
+        }
     }
 
     private void releaseAttempt(CallRecord call, boolean timedOut) {
         if (call.out()) {
-            trunks.release(now, call.server(), call.id(), call.attempts() - 1, timedOut);
+            if (call.releasing() == null) {
+                trunks.release(now, call.server(), call.id(), call.attempts() - 1, timedOut);
+            }
             call.attemptOver();
         }
     }
@@ -340,7 +362,7 @@
         double until = abandonAt > 0 ? Math.min(abandonAt, latest) : latest;
         call.swapAttemptTimer(timers.set(until, at -> {
             clock(at);
-            if (call.out() && call.isAttempt(attempt)) {
+            if (call.out() && call.releasing() == null && call.isAttempt(attempt)) {
                 counters.timedOut++;
                 abandoned(call, attempt, Result.TIMED_OUT);
             }
@@ -368,10 +390,10 @@
     @Override
     public void cancel(long id, int attempt) {
         CallRecord call = calls.get(id);
-        if (call != null && call.out() && call.isAttempt(attempt)) {
+        if (call != null && call.out() && call.releasing() == null && call.isAttempt(attempt)) {
             // The module hears that it is over when it is done with this moment.
             echoes.add(() -> {
-                if (call.out() && call.isAttempt(attempt)) {
+                if (call.out() && call.releasing() == null && call.isAttempt(attempt)) {
                     counters.cancelled++;
                     abandoned(call, attempt, Result.CANCELLED);
                 }
--- a/src/main/java/damsonseam/front/TrunkLink.java
+++ b/src/main/java/damsonseam/front/TrunkLink.java
@@ -52,6 +52,7 @@
     private double pause = FIRST_PAUSE;
     private long badMessages;
     private boolean unsent;
+    private boolean closedHere;
 
     TrunkLink(Loop loop, Router router, FrontSettings settings, Pool.Server server) {
         this.loop = loop;
@@ -73,8 +74,8 @@
         boolean moved = !now.address().equals(server.address());
         server = now;
         wanted = true;
-        if (moved && channel != null) {
-            channel.close();
+        if (moved) {
+            closeHere();
         }
     }
 
@@ -85,7 +86,15 @@
     }
 
     private void closeIfIdle() {
-        if (!wanted && group.busy() == 0 && channel != null) {
+        if (!wanted && group.busy() == 0) {
+            closeHere();
+        }
+    }
+
+    /** Closes from this side: what is cut is told later, when the far side can be taken to know of it too. */
+    private void closeHere() {
+        if (channel != null) {
+            closedHere = true;
             channel.close();
         }
     }
@@ -121,9 +130,7 @@
 
     void close() {
         wanted = false;
-        if (channel != null) {
-            channel.close();
-        }
+        closeHere();
     }
 
     private void connect() {
@@ -196,9 +203,7 @@
             LOG.atWarn().addKeyValue("server", server.id()).addKeyValue("why", why)
                     .addKeyValue("badMessages", badMessages).addKeyValue("confused", group.confused())
                     .log("signalling closed");
-            if (channel != null) {
-                channel.close();
-            }
+            closeHere();
         }
 
         @Override
@@ -233,7 +238,19 @@
         @Override
         public void ended(double now, long call, int attempt, Result result, Reason reason,
                 OptionalDouble toldWait, Report report) {
-            router.ended(now, call, attempt, result, reason, toldWait, report);
+            if (closedHere) {
+                loop.timers().set(now + settings.trunks().releaseWait().ms(), at -> {
+                    router.ended(at, call, attempt, result, reason, toldWait, report);
+                    loop.kick();
+                });
+            } else {
+                router.ended(now, call, attempt, result, reason, toldWait, report);
+            }
+        }
+
+        @Override
+        public void released(double now, long call, int attempt) {
+            router.released(now, call, attempt);
         }
     }
 
@@ -271,6 +288,7 @@
             double now = loop.now();
             session.closed(now);
             group.connectionLost(now);
+            closedHere = false;
             loop.kick();
             again();
         }
@@ -280,7 +298,7 @@
             // A length that can't be: where the next frame starts is not known any more.
             LOG.atWarn().addKeyValue("server", server.id()).addKeyValue("error", cause.toString())
                     .log("signalling connection");
-            ctx.close();
+            closeHere();
         }
     }
 }
--- a/src/main/java/damsonseam/ss7/TrunkGroup.java
+++ b/src/main/java/damsonseam/ss7/TrunkGroup.java
@@ -32,6 +32,9 @@
         /** The attempt, or the standing call, was ended by the far end or with the connection. */
         void ended(double now, long call, int attempt, Result result, Reason reason, OptionalDouble toldWait,
                 Report report);
+
+        /** The far end has the release of an attempt: it completed it, released too, or is gone. */
+        void released(double now, long call, int attempt);
     }
 
     /**
@@ -181,6 +184,9 @@
             b.timer = null;
             toReset.set(c);
             boolean told = b.state == State.SETTING_UP || b.state == State.ANSWERED;
+            if (b.state == State.RELEASING) {
+                out.released(now, b.call, b.attempt);
+            }
             b.state = State.RELEASING;
             if (told && byCall.remove(b.call) != null) {
                 out.ended(now, b.call, b.attempt, Result.RESET, Reason.NONE, OptionalDouble.empty(),
@@ -266,6 +272,7 @@
         if (b.state == State.RELEASING) {
             // Releases that cross: ours is complete as well (Q.764 2.3.1 e).
             idle(b, now);
+            out.released(now, b.call, b.attempt);
             return;
         }
         boolean answered = b.state == State.ANSWERED;
@@ -311,6 +318,7 @@
         }
         if (b.state == State.RELEASING || b.state == State.RESETTING) {
             idle(b, now);
+            out.released(now, b.call, b.attempt);
             return;
         }
         // The far end has released a call of ours that we have not: its end is told, then it is reset.
@@ -342,6 +350,7 @@
         boolean told = (b.state == State.SETTING_UP || b.state == State.ANSWERED)
                 && byCall.remove(b.call) != null;
         idle(b, now);
+        out.released(now, b.call, b.attempt);
         if (told) {
             out.ended(now, b.call, b.attempt, Result.RESET, Reason.NONE, OptionalDouble.empty(),
                     Report.NONE);
--- a/src/test/java/damsonseam/sim/HardCasesTest.java
+++ b/src/test/java/damsonseam/sim/HardCasesTest.java
@@ -345,6 +345,49 @@
         }
     }
 
+    /** A release that is slow on its way: the guard runs from the proof that it has arrived. */
+    @Test
+    void theGuardRunsFromTheProofOfTheRelease() {
+        double gap = leastGapAfterRelease(40, false);
+        assertTrue(gap >= 39 && gap < SimFront.RELEASE_WAIT, "guard and " + gap + " ms");
+    }
+
+    /** No proof comes: after the time it is waited for the guard runs without it. */
+    @Test
+    void theGuardRunsWithoutProofAfterTheWait() {
+        double gap = leastGapAfterRelease(1, true);
+        assertTrue(gap >= SimFront.RELEASE_WAIT && gap < 2 * SimFront.RELEASE_WAIT, "guard and " + gap + " ms");
+        assertTrue(front.router().counters().unprovedReleases > 0);
+    }
+
+    /** The least time from a release to the next set-up of the same call, beyond the guard. */
+    private double leastGapAfterRelease(double completeDelay, boolean lost) {
+        front.completeDelay = completeDelay;
+        front.losesCompletes = lost;
+        front.modes.put("s0", Mode.SILENT);
+        front.start("s0", "s1");
+        for (int i = 0; i < 40; i++) {
+            front.ask("desk", i, String.format("598210%08d", i));
+            front.run(25);
+        }
+        front.run(4_000);
+        Map<Integer, String> numbers = new HashMap<>();
+        Map<String, Double> releasedAt = new HashMap<>();
+        double least = Double.MAX_VALUE;
+        for (Sent s : front.sent) {
+            if (s.message().type() == Isup.Type.REL && s.server().equals("s0")) {
+                releasedAt.put(numbers.get(s.message().circuit()), s.at());
+            } else if (s.message().type() == Isup.Type.IAM) {
+                if (s.server().equals("s0")) {
+                    numbers.put(s.message().circuit(), SimFront.number(s));
+                }
+                Double released = releasedAt.remove(SimFront.number(s));
+                least = released == null ? least : Math.min(least, s.at() - released - 300);
+            }
+        }
+        return least;
+    }
+
     @Test
     void aDrainingFrontRefusesNewCallsAndEndsTheOpenOnes() {
         front.answerDelay = 100;
--- a/src/test/java/damsonseam/sim/SimFront.java
+++ b/src/test/java/damsonseam/sim/SimFront.java
@@ -58,6 +58,9 @@
 public final class SimFront implements Ports.Trunks, Ports.Directory {
     /** The domain of the numbers. */
     public static final Name SUFFIX = E164Name.suffix("e164.example.org");
+    /** How long a release complete is awaited, in milliseconds. */
+    public static final double RELEASE_WAIT = 100;
+
     /** What a calculator does with a set-up. */
     public enum Mode { ANSWER, SILENT, TURN_AWAY }
 
@@ -77,6 +80,8 @@
     public double answerDelay = 10;
     /** Whether calculators' release completes are lost. */
     public boolean losesCompletes;
+    /** Time from a release to its completion, there and back. */
+    public double completeDelay = 1;
     /** What each calculator does; by default it answers. */
     public final Map<String, Mode> modes = new HashMap<>();
     /** All that went to calculators. */
@@ -104,7 +109,8 @@
     /** Starts with these calculators running, with circuits to spare. */
     public SimFront start(String... servers) {
         FrontSettings s = settings();
-        router = new Router(new RouterSettings(s.forModule(3), mostCalls, FrontSettings.BEAT, FrontSettings.SLACK),
+        router = new Router(new RouterSettings(s.forModule(3), mostCalls, FrontSettings.BEAT, RELEASE_WAIT,
+                FrontSettings.SLACK),
                 a -> new Decide(s.forModule(3), a), new CallTable(mostCalls, 1), timers, (call, number, deadline) -> {
                     resolver.clock(now);
                     resolver.lookUp(call, number, deadline);
@@ -174,6 +180,11 @@
                             OptionalDouble toldWait, Report report) {
                         router.ended(at, call, attempt, result, reason, toldWait, report);
                     }
+
+                    @Override
+                    public void released(double at, long call, int attempt) {
+                        router.released(at, call, attempt);
+                    }
                 });
         group.connectionUp(now);
         return group;
@@ -187,7 +198,7 @@
         } else if (message.type() == Isup.Type.IAM && mode == Mode.TURN_AWAY) {
             later(answerDelay, () -> from(server, IsupMessages.release(circuit, Isup.SWITCH_CONGESTION)));
         } else if ((message.type() == Isup.Type.REL || message.type() == Isup.Type.RSC) && !losesCompletes) {
-            later(1, () -> from(server, Isup.of(circuit, Isup.Type.RLC)));
+            later(completeDelay, () -> from(server, Isup.of(circuit, Isup.Type.RLC)));
         }
     }
 
--- a/src/test/java/damsonseam/ss7/TrunkGroupTest.java
+++ b/src/test/java/damsonseam/ss7/TrunkGroupTest.java
@@ -23,6 +23,7 @@
     private final Timers timers = new Timers(0);
     private final List<Isup> sent = new ArrayList<>();
     private final List<String> told = new ArrayList<>();
+    private final List<String> releases = new ArrayList<>();
     private final TrunkGroup group = group(4, true);
 
     private TrunkGroup group(int size, boolean controlsEven) {
@@ -43,6 +44,11 @@
                             OptionalDouble toldWait, Report report) {
                         told.add("ended " + call + "/" + attempt + " " + result + " " + reason);
                     }
+
+                    @Override
+                    public void released(double now, long call, int attempt) {
+                        releases.add(call + "/" + attempt);
+                    }
                 });
         made.connectionUp(0);
         return made;
