--- a/src/main/java/damsonseam/front/FrontServer.java
+++ b/src/main/java/damsonseam/front/FrontServer.java
@@ -70,7 +70,8 @@
         Function<Front.Actions, Front> made = module == null
                 ? actions -> new Decide(settings.forModule(seed), actions) : module;
         router = new Router(new RouterSettings(settings.forModule(seed), limits.calls(), FrontSettings.BEAT,
-                settings.trunks().releaseWait().ms(), FrontSettings.SLACK), made, new CallTable(limits.calls(), System.currentTimeMillis() / 1000),
+                settings.trunks().releaseWait().ms(), FrontSettings.SLACK), made,
+                new CallTable(limits.calls(), System.currentTimeMillis() / 1000),
                 loop.timers(), (call, number, deadline) -> {
                     resolver.clock(loop.now());
                     resolver.lookUp(call, number, deadline);
