Own overload: an intake thread turns calls away by worth before the loop falls behind

Need: the loop read its own datagram socket, so while it was busy the system dropped questions whatever their worth, a refusal cost as much as a call, and nobody knew why a front was late.

Change: package overload (levels by rank of worth on the wait a call would meet, on memory and on tables; heavy senders by sketches; memory of decisions for questions sent again; forecast of memory; diagnosis of delays), all without I/O, clock or threads. A thread of its own reads the socket, reads plain questions in place, refuses for a fraction of a call's cost, and hands the rest to the loop in lines by worth.

--- a/src/main/java/damsonseam/bench/MemoryBench.java
+++ b/src/main/java/damsonseam/bench/MemoryBench.java
@@ -40,7 +40,7 @@
                 List.of(new FrontSettings.ClassOfCall("c", Span.ms(600_000), Span.ms(900_000), 1.0, 0.0)),
                 List.of(new FrontSettings.NumberRange("5", "c", Span.ms(600_000))),
                 new FrontSettings.Upstream(List.of(new Endpoint("127.0.0.1", 1)), null, null, null, null, null),
-                new FrontSettings.Directory(new Endpoint("127.0.0.1", 1)), null, null, null);
+                new FrontSettings.Directory(new Endpoint("127.0.0.1", 1)), null, null, null, null);
         Trunks trunks = new Trunks(timers);
         List<Pool.Server> servers = new ArrayList<>();
         for (int i = 0; i < SERVERS; i++) {
--- a/src/main/java/damsonseam/config/FrontSettings.java
+++ b/src/main/java/damsonseam/config/FrontSettings.java
@@ -4,6 +4,8 @@
 import damsonseam.Front.Settings;
 import damsonseam.core.NumberPlan;
 import damsonseam.dns.E164Name;
+import damsonseam.overload.OverloadSettings;
+import damsonseam.overload.Ranks;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -23,10 +25,11 @@
  * @param trunks the trunk groups toward the calculators
  * @param fleet what all fronts share, the figures of the five rules among it
  * @param limits bounds of tables
+ * @param overload levels of the front's own overload
  */
 public record FrontSettings(Identity front, @com.fasterxml.jackson.annotation.JsonProperty("enum") Enumeration
         enumeration, List<ClassOfCall> classes, List<NumberRange> numbers, Upstream upstream,
-        Directory directory, Trunks trunks, Fleet fleet, Limits limits) {
+        Directory directory, Trunks trunks, Fleet fleet, Limits limits, Overload overload) {
 
     /** Checks what concerns several parts at once. */
     public FrontSettings {
@@ -39,6 +42,7 @@
         trunks = Check.or(trunks, new Trunks(null, null, null, null, null, null, null, null));
         fleet = Check.or(fleet, new Fleet(null, null, null, null, null, null, null, null, null, null));
         limits = Check.or(limits, new Limits(null, null, null, null, null, null));
+        overload = Check.or(overload, new Overload(null, null, null, null, null, null, null, null));
         for (NumberRange range : numbers) {
             Check.that(classes.stream().anyMatch(c -> c.name().equals(range.of())),
                     "numbers: no class is named " + range.of());
@@ -236,6 +240,52 @@
         }
     }
 
+    /**
+     * Levels of the front's own overload, see docs/OVERLOAD.md.
+     *
+     * @param delayOnset wait before the front looks at a call, from which calls of least worth are refused
+     * @param delayCeiling the same, from which the dearest are refused too
+     * @param memoryOnset share of the heap in use after collections, from which caches and then calls give way
+     * @param memoryCeiling the same, from which the dearest calls are refused too
+     * @param tableOnset share of the call table and of the look-ups that is open to calls of any worth
+     * @param forecast how far ahead memory in use is foreseen
+     * @param fairMultiple fair shares that one sender may ask before what is above them is refused first
+     * @param queue calls of each worth that may wait before the loop
+     */
+    public record Overload(Span delayOnset, Span delayCeiling, Double memoryOnset, Double memoryCeiling,
+            Double tableOnset, Span forecast, Double fairMultiple, Integer queue) {
+        /** Checks and defaults. */
+        public Overload {
+            delayOnset = Check.or(delayOnset, Span.ms(5));
+            delayCeiling = Check.or(delayCeiling, Span.ms(20));
+            memoryOnset = Check.or(memoryOnset, 0.75);
+            memoryCeiling = Check.or(memoryCeiling, 0.92);
+            tableOnset = Check.or(tableOnset, 0.8);
+            forecast = Check.or(forecast, Span.ms(30_000));
+            fairMultiple = Check.or(fairMultiple, 3.0);
+            queue = Check.within(Check.or(queue, 4_096), 16, 1 << 20, "queue");
+            levels(delayOnset, delayCeiling, memoryOnset, memoryCeiling, tableOnset, forecast, fairMultiple, 0);
+        }
+
+        private static OverloadSettings levels(Span delayOnset, Span delayCeiling, double memoryOnset,
+                double memoryCeiling, double tableOnset, Span forecast, double fairMultiple, double longestAdvice) {
+            return new OverloadSettings(delayOnset.ms(), delayCeiling.ms(), memoryOnset, memoryCeiling, tableOnset,
+                    forecast.ms(), fairMultiple, longestAdvice);
+        }
+    }
+
+    /** The levels of the front's own overload. */
+    public OverloadSettings levels() {
+        return Overload.levels(overload.delayOnset(), overload.delayCeiling(), overload.memoryOnset(),
+                overload.memoryCeiling(), overload.tableOnset(), overload.forecast(), overload.fairMultiple(),
+                fleet.maxReturnAdvice().ms());
+    }
+
+    /** The ranks of the classes by worth. */
+    public Ranks ranks() {
+        return new Ranks(classes.stream().map(ClassOfCall::worth).toList());
+    }
+
     /** Time between beats of the front's loop, in milliseconds: a quarter of the module's own. */
     public static final double BEAT = 5;
     /** Answers later than this after the caller's time do not count; also the core's own last moment. */
--- a/src/main/java/damsonseam/day/Day.java
+++ b/src/main/java/damsonseam/day/Day.java
@@ -7,6 +7,7 @@
 import damsonseam.config.Endpoint;
 import damsonseam.config.FrontSettings;
 import damsonseam.front.FrontServer;
+import damsonseam.overload.Admission;
 import damsonseam.standin.Callers;
 import damsonseam.standin.RandomRoute;
 import damsonseam.standin.Scenario;
@@ -95,7 +96,8 @@
             return FrontServer.start(settings, logCalls);
         }
         BiFunction<Front.Settings, Front.Actions, Front> random = RandomRoute::new;
-        return FrontServer.start(settings, a -> random.apply(settings.forModule(settings.front().seed()), a),
-                logCalls);
+        Admission open = (now, rank, sender, load) -> Admission.TAKE;
+        return FrontServer.start(settings, new FrontServer.Parts(
+                a -> random.apply(settings.forModule(settings.front().seed()), a), () -> open), logCalls);
     }
 }
--- a/src/main/java/damsonseam/dns/EnumReplies.java
+++ b/src/main/java/damsonseam/dns/EnumReplies.java
@@ -1,6 +1,5 @@
 package damsonseam.dns;
 
-import damsonseam.core.CallRecord;
 import damsonseam.core.FinalAnswer;
 import java.util.ArrayList;
 import java.util.List;
@@ -37,12 +36,12 @@
     private EnumReplies() { }
 
     /** The final answer of a call as octets, cut to {@code limit} with TC set where it is longer. */
-    public static byte[] of(Message query, CallRecord call, FinalAnswer answer, Name suffix, int limit) {
+    public static byte[] of(Message query, long call, FinalAnswer answer, Name suffix, int limit) {
         Name asked = query.getQuestion().getName();
         return switch (answer.kind()) {
             case STANDS -> {
                 Message reply = start(query, Rcode.NOERROR);
-                String uri = "!^.*$!sip:" + Long.toHexString(call.id()) + "@" + answer.server() + "!";
+                String uri = "!^.*$!sip:" + Long.toHexString(call) + "@" + answer.server() + "!";
                 reply.addRecord(new NAPTRRecord(asked, DClass.IN, NO_TTL, 100, 10, "u", "E2U+sip", uri,
                         Name.root), Section.ANSWER);
                 yield finish(query, reply, limit);
@@ -80,6 +79,15 @@
         return reply.toWire();
     }
 
+    /** REFUSED for octets that there was no time to read: only the header, with their id. */
+    public static byte[] refused(byte[] octets) {
+        Message reply = new Message(DnsCodec.id(octets));
+        reply.getHeader().setFlag(Flags.QR);
+        reply.getHeader().setOpcode(octets[2] >> 3 & 0xf);
+        reply.getHeader().setRcode(Rcode.REFUSED);
+        return reply.toWire();
+    }
+
     /** An answer that repeats the question as it was asked, the case of its letters included. */
     private static Message start(Message query, int rcode) {
         Header asked = query.getHeader();
--- a/src/main/java/damsonseam/dns/LookupCache.java
+++ b/src/main/java/damsonseam/dns/LookupCache.java
@@ -17,7 +17,10 @@
     private static final double MS_PER_S = 1_000;
 
     private final Map<String, Entry> entries;
+    private static final int MAKES_ROOM = 1_000;
     private final double staleFor;
+    private final int limit;
+    private int room;
 
     private static final class Entry {
         Candidates candidates;
@@ -36,12 +39,14 @@
      */
     public LookupCache(int limit, double staleFor) {
         this.staleFor = staleFor;
+        this.limit = limit;
+        room = limit;
         entries = new LinkedHashMap<>(16, 0.75f, true) {
             private static final long serialVersionUID = 1L;
 
             @Override
             protected boolean removeEldestEntry(Map.Entry<String, Entry> eldest) {
-                return size() > limit;
+                return size() > room;
             }
         };
     }
@@ -75,6 +80,19 @@
         entries.computeIfAbsent(number, n -> new Entry()).failedUntil = now + FAILURE_SPAN;
     }
 
+    /**
+     * Gives the cache this share of its room from now on; what is too much goes a thousand numbers a call, the least
+     * lately used first.
+     */
+    public void room(double share) {
+        room = Math.max(1, (int) (limit * Math.min(1, share)));
+        var eldest = entries.keySet().iterator();
+        for (int i = 0; i < MAKES_ROOM && entries.size() > room; i++) {
+            eldest.next();
+            eldest.remove();
+        }
+    }
+
     /** Numbers kept. */
     public int size() {
         return entries.size();
--- a/src/main/java/damsonseam/front/FrontServer.java
+++ b/src/main/java/damsonseam/front/FrontServer.java
@@ -6,6 +6,7 @@
 import damsonseam.config.FrontSettings;
 import damsonseam.core.CallTable;
 import damsonseam.core.Counters;
+import damsonseam.core.NumberPlan;
 import damsonseam.core.Router;
 import damsonseam.core.RouterSettings;
 import damsonseam.core.Story;
@@ -13,8 +14,12 @@
 import damsonseam.dns.E164Name;
 import damsonseam.dns.EnumService;
 import damsonseam.dns.LookupCache;
+import damsonseam.dns.PlainQuestion;
 import damsonseam.dns.Resolver;
 import damsonseam.dns.Transactions;
+import damsonseam.overload.Admission;
+import damsonseam.overload.Gate;
+import damsonseam.overload.LoopGauge;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -26,6 +31,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xbill.DNS.Name;
@@ -45,9 +51,25 @@
     private final TrunkLinks trunks;
     private final ResolverSockets sockets;
     private final DirectoryClient directory;
+    private final SelfWatch watch;
     private boolean closed;
 
-    private FrontServer(FrontSettings settings, Function<Front.Actions, Front> module, boolean logCalls)
+    /**
+     * What may stand in the place of a front's own parts, for baselines.
+     *
+     * @param module makes the decision module
+     * @param admission makes what admits calls, once for datagrams and once for streams
+     */
+    public record Parts(Function<Front.Actions, Front> module, Supplier<Admission> admission) {
+        /** The project's own. */
+        public static Parts own(FrontSettings settings) {
+            long seed = settings.front().seed() == null ? new SecureRandom().nextLong() : settings.front().seed();
+            return new Parts(actions -> new Decide(settings.forModule(seed), actions),
+                    () -> new Gate(settings.levels(), settings.ranks().count(), seed));
+        }
+    }
+
+    private FrontServer(FrontSettings settings, Parts parts, boolean logCalls)
             throws IOException, InterruptedException {
         this.settings = settings;
         group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -62,36 +84,37 @@
         Name suffix = E164Name.suffix(settings.enumeration().suffix());
         Name zone = settings.upstream().suffix() == null ? suffix
                 : E164Name.suffix(settings.upstream().suffix());
-        long seed = settings.front().seed() == null ? new SecureRandom().nextLong() : settings.front().seed();
-        resolver = new Resolver(zone, new LookupCache(limits.numbers(), settings.upstream().staleFor().ms()),
+        LookupCache cache = new LookupCache(limits.numbers(), settings.upstream().staleFor().ms());
+        resolver = new Resolver(zone, cache,
                 new Authorities(authorities.size()), loop.timers(), new SecureRandom().nextLong(),
                 new Resolver.Limits(settings.upstream().sockets(), settings.upstream().tries(),
                         limits.lookups(), settings.upstream().staleAfter().ms()), sockets);
-        Function<Front.Actions, Front> made = module == null
-                ? actions -> new Decide(settings.forModule(seed), actions) : module;
-        router = new Router(new RouterSettings(settings.forModule(seed), limits.calls(), FrontSettings.BEAT,
-                settings.trunks().releaseWait().ms(), FrontSettings.SLACK), made,
+        router = new Router(new RouterSettings(settings.forModule(0), limits.calls(), FrontSettings.BEAT,
+                settings.trunks().releaseWait().ms(), FrontSettings.SLACK), parts.module(),
                 new CallTable(limits.calls(), System.currentTimeMillis() / 1000),
                 loop.timers(), (call, number, deadline) -> {
                     resolver.clock(loop.now());
                     resolver.lookUp(call, number, deadline);
                 }, trunks, directory, logCalls ? new CallLog(settings.front().name()) : Story.NONE);
-        service = new EnumService(suffix, settings.plan(), router,
+        NumberPlan plan = settings.plan();
+        service = new EnumService(suffix, plan, router,
                 new Transactions(limits.questions(), settings.enumeration().keepAnswers().ms()),
                 settings.enumeration().wayBack().ms());
-        listener = new DnsListener(loop, service, router, limits.connections());
+        listener = new DnsListener(loop, service, router, settings, plan, new PlainQuestion.Suffix(suffix),
+                parts.admission());
+        watch = new SelfWatch(settings, router, resolver, cache, listener.load());
     }
 
     /** Starts a front; its module decides. Returns when its DNS port is open. */
     public static FrontServer start(FrontSettings settings, boolean logCalls)
             throws IOException, InterruptedException {
-        return start(settings, null, logCalls);
+        return start(settings, Parts.own(settings), logCalls);
     }
 
-    /** Starts a front with another module in the place of the project's own, as a baseline. */
-    public static FrontServer start(FrontSettings settings, Function<Front.Actions, Front> module,
-            boolean logCalls) throws IOException, InterruptedException {
-        FrontServer front = new FrontServer(settings, module, logCalls);
+    /** Starts a front with other parts in the place of the project's own, as a baseline. */
+    public static FrontServer start(FrontSettings settings, Parts parts, boolean logCalls)
+            throws IOException, InterruptedException {
+        FrontServer front = new FrontServer(settings, parts, logCalls);
         try {
             front.open();
         } catch (IOException e) {
@@ -107,14 +130,17 @@
         listener.bind(settings.enumeration().listen().socket());
         loop.eventLoop().execute(() -> {
             directory.start(router, trunks);
+            watch.start();
             loop.start(() -> {
-                listener.beat();
+                watch.beat(loop.now());
                 router.beat(loop.now());
                 trunks.flush();
+                listener.intake().flush();
             }, () -> {
                 resolver.deliver(loop.now());
                 router.settle(loop.now());
                 trunks.flush();
+                listener.intake().flush();
             });
         });
         LOG.atInfo().addKeyValue("front", settings.front().name())
@@ -138,17 +164,44 @@
         return true;
     }
 
-    /** Makes the loop stand still for so long, as a fault for tests and scenarios. */
+    /** Makes the front stand still for so long, as a fault for tests and scenarios. */
     public void stall(long millis) {
-        loop.eventLoop().execute(() -> {
+        Runnable sleep = () -> {
             try {
                 Thread.sleep(millis);
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
+        };
+        loop.eventLoop().execute(sleep);
+        listener.intake().stall(sleep);
+    }
+
+    /** What the front says of its run so far. */
+    public FrontReport report() {
+        return call(() -> {
+            Counters c = router.counters();
+            Intake.Counts in = listener.intake().counts();
+            LoopGauge loopGauge = watch.gauge();
+            LoopGauge intakeGauge = listener.intake().gauge();
+            Vitals.Sample sample = watch.sample();
+            return new FrontReport(c.taken, c.stood, c.refused, c.failed, c.setUps, in.read, in.repeated, in.tooOld,
+                    in.queueFull, in.offered, in.refused, loopGauge.percentile(50), loopGauge.percentile(99),
+                    loopGauge.most(), intakeGauge.percentile(99), intakeGauge.most(),
+                    listener.load().perCall() * 1_000, sample.loopOctets() / Math.max(1, c.taken),
+                    sample.pausedMs(), sample.heap(), watch.cacheRoom(), watch.seconds());
         });
     }
 
+    /** Forgets the delays measured so far, as at the end of a warm-up. */
+    public void resetDelays() {
+        call(() -> {
+            watch.gauge().reset();
+            return null;
+        });
+        listener.intake().stall(() -> listener.intake().gauge().reset());
+    }
+
     /** Calls open now, standing ones included. */
     public int openCalls() {
         return call(router::open);
@@ -194,9 +247,8 @@
         closed = true;
         loop.eventLoop().execute(() -> {
             loop.stop();
-            if (listener.bound()) {
-                listener.close();
-            }
+            listener.close();
+            watch.close();
             trunks.close();
             sockets.close();
             directory.close();
--- /dev/null
+++ b/src/main/java/damsonseam/overload/Levels.java
@@ -0,0 +1,82 @@
+package damsonseam.overload;
+
+import java.util.Arrays;
+
+/**
+ * Onset, abatement and discard levels per rank of worth, as the paper has them for a link's buffer: pressure is
+ * counted in ranks, so that the onset of rank r is T(r) = r and its discard level is the next one's onset, D(r) =
+ * r + 1. A rank is stopped in part from its onset on, the more the nearer its discard level, and wholly past that;
+ * once stopped it stays so, in part, until pressure is under its abatement level, half a rank below the onset.
+ *
+ * <p>The share between the levels is what keeps the front from swinging: pressure is a queue, and a queue under a
+ * proportional answer settles. The abatement level keeps a pressure that rests near an onset from switching it on and
+ * off with every call.
+ */
+public final class Levels {
+    /** How far under its onset a rank's abatement level lies, in ranks. */
+    static final double ABATEMENT = 0.5;
+
+    private final boolean[] stopped;
+    private long onsets;
+
+    /** Levels of so many ranks, none stopped. */
+    public Levels(int ranks) {
+        stopped = new boolean[ranks];
+    }
+
+    /**
+     * The share of a rank's calls to refuse at this pressure, 0 to 1.
+     *
+     * @param rank 0 for the least worth
+     * @param pressure in ranks: 0 at the first onset, the number of ranks at the ceiling
+     */
+    public double share(int rank, double pressure) {
+        double abatement = rank - ABATEMENT;
+        if (stopped[rank]) {
+            stopped[rank] = pressure >= abatement;
+        } else if (pressure >= rank) {
+            stopped[rank] = true;
+            onsets++;
+        }
+        return stopped[rank] ? Math.min(1, (pressure - abatement) / (1 + ABATEMENT)) : 0;
+    }
+
+    /**
+     * The share to refuse of what is above a sender's fair share: it begins at the abatement level of the cheapest
+     * rank and is all at that rank's onset, so that such calls fill what room there is and are gone before anybody
+     * else is asked to go.
+     */
+    public static double surplusShare(double pressure) {
+        return Math.max(0, Math.min(1, (pressure + ABATEMENT) / ABATEMENT));
+    }
+
+    /** Whether this rank is stopped, wholly or in part. */
+    public boolean stopped(int rank) {
+        return stopped[rank];
+    }
+
+    /** Pressure in ranks of a value between its onset and its ceiling; below the onset it is negative. */
+    static double pressure(double value, double onset, double ceiling, int ranks) {
+        return (value - onset) / (ceiling - onset) * ranks;
+    }
+
+    /** Whether any rank is stopped, wholly or in part. */
+    public boolean any() {
+        for (boolean s : stopped) {
+            if (s) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** How often a rank was stopped. */
+    public long onsets() {
+        return onsets;
+    }
+
+    @Override
+    public String toString() {
+        return Arrays.toString(stopped);
+    }
+}
--- a/src/main/java/damsonseam/standin/Surroundings.java
+++ b/src/main/java/damsonseam/standin/Surroundings.java
@@ -136,7 +136,7 @@
                 new FrontSettings.Upstream(authorityAddresses, null, null, null, null, null),
                 new FrontSettings.Directory(directoryAddress), null,
                 new FrontSettings.Fleet(scenario.fronts(), 4, true, null, 0.35, Span.ms(14_000),
-                        each.tipMultiple(), each.tipWindow(), null, null), null);
+                        each.tipMultiple(), each.tipWindow(), null, null), null, null);
     }
 
     /** The name of a front, as its point code tells it too. */
--- a/src/test/java/damsonseam/sim/SimFront.java
+++ b/src/test/java/damsonseam/sim/SimFront.java
@@ -154,7 +154,7 @@
                 List.of(new FrontSettings.NumberRange("59821", "simulacion", Span.ms(3_000)),
                         new FrontSettings.NumberRange("59828", "tasacion-firma", Span.ms(2_200))),
                 new FrontSettings.Upstream(List.of(new Endpoint("127.0.0.1", 1)), null, null, null, null, null),
-                new FrontSettings.Directory(new Endpoint("127.0.0.1", 1)), null, null, null);
+                new FrontSettings.Directory(new Endpoint("127.0.0.1", 1)), null, null, null, null);
     }
 
     private static Pool.Server server(String id, int number, State state, OptionalDouble started) {
@@ -224,7 +224,7 @@
 
     /** A caller sends octets. */
     public void octets(Object source, byte[] octets) {
-        service.question(now, source, false, router.turnAge(now), octets, answer -> {
+        service.question(now, source, false, router.turnAge(now), octets, EnumService.Gate.OPEN, answer -> {
             try {
                 replies.add(new Reply(now, source, DnsCodec.decode(answer), answer));
             } catch (DnsFormatException e) {
