bench path: what the front says of itself, octets a call among it

Need: the row told rates and delays, but neither what a call allocates nor what was refused before it was one.

--- a/src/main/java/damsonseam/bench/PathBench.java
+++ b/src/main/java/damsonseam/bench/PathBench.java
@@ -78,6 +78,7 @@
                 report.put("addedP" + (int) p + "Us", f - b);
             }
             report.put("halfStoodShare", round(frontHalf.stoodShare()));
+            report.put("front", front.report());
             return report;
         } finally {
             group.shutdownGracefully(0, 2, TimeUnit.SECONDS).syncUninterruptibly();
--- a/src/test/java/damsonseam/overload/GateTest.java
+++ b/src/test/java/damsonseam/overload/GateTest.java
@@ -138,7 +138,8 @@
     /** Whatever the load and the mix: while cheap calls are taken at all, hardly a dear one is refused. */
     @Property(tries = 60)
     void worthIsNeverInverted(@ForAll @DoubleRange(min = 0.5, max = 12) double load,
-            @ForAll @DoubleRange(min = 0.01, max = 0.99) double dearShare, @ForAll @IntRange(max = 1_000_000) int seed) {
+            @ForAll @DoubleRange(min = 0.01, max = 0.99) double dearShare,
+            @ForAll @IntRange(max = 1_000_000) int seed) {
         SimLoop loop = burst(gate(2), load, 1_000, dearShare, seed);
         assertTrue(loop.refusedShare(1) <= loop.refusedShare(0) + 1e-9 || loop.offered[0] < 20,
                 () -> loop.refusedShare(1) + " of the dear, " + loop.refusedShare(0) + " of the cheap");
