Gate: abatement half way to nothing, and a call's cost that can't be learnt too high for good

Need: with one class of call the gate went on refusing a ninth of all calls at an empty queue, as half a rank under the onset was below no wait at all; and a cost learnt in a bad moment kept the front too idle to learn another.

Change: each resource has its own abatement level (a wait's is half its onset); what a call costs is learnt from whole batches and lowered by looks at the loop's processor time. A property test holds that nothing is refused at an empty queue with 1 to 16 ranks.

--- a/src/main/java/damsonseam/front/DnsListener.java
+++ b/src/main/java/damsonseam/front/DnsListener.java
@@ -86,8 +86,8 @@
         double now = loop.now();
         router.catchUp(now);
         load.turned(now);
-        if (backlog && taken > 0) {
-            load.cost(now - drainedAt, taken);
+        if (backlog && taken == AT_ONCE) {
+            load.batch(now - drainedAt, taken);
         }
         drainedAt = now;
         taken = 0;
--- a/src/main/java/damsonseam/front/FrontLoad.java
+++ b/src/main/java/damsonseam/front/FrontLoad.java
@@ -7,8 +7,12 @@
  * thread only; a reader may see one a moment older than another, which no decision minds.
  */
 final class FrontLoad implements Admission.Load {
-    /** Weight of a new measurement of what a call costs. */
-    private static final double WEIGHT = 0.1;
+    /** Weights of a new measurement of what a call costs: of a batch, and of a look at the processor time. */
+    private static final double BATCH_WEIGHT = 0.05;
+    private static final double LOOK_WEIGHT = 0.3;
+    private static final double MOST_MORE = 4;
+    /** Calls under which a look says nothing. */
+    private static final int FEWEST = 50;
     /** What a call is taken to cost before any was measured, in milliseconds. */
     private static final double FIRST_GUESS = 0.05;
 
@@ -23,9 +27,25 @@
         this.beat = beat;
     }
 
-    /** The loop has taken calls in {@code ms}, with more still queued when it began: what each cost. */
-    void cost(double ms, int calls) {
-        perCall += WEIGHT * (ms / calls - perCall);
+    /** The loop has taken a whole batch of calls in {@code ms}, with more still queued: what each cost. */
+    void batch(double ms, int calls) {
+        // A stop in the middle of a batch is no cost of its calls; while it lasts it counts as standing.
+        learn(Math.min(ms / calls, MOST_MORE * perCall), BATCH_WEIGHT);
+    }
+
+    /**
+     * The loop's thread got {@code cpuMs} of processor time while it took so many calls. A call alone costs more
+     * than one of a batch, so this only ever lowers the cost. Guards against one that was learnt in a bad moment and
+     * then keeps the front so idle that no batch is ever whole again.
+     */
+    void look(double cpuMs, int calls) {
+        if (calls >= FEWEST && cpuMs / calls < perCall) {
+            learn(cpuMs / calls, LOOK_WEIGHT);
+        }
+    }
+
+    private void learn(double each, double weight) {
+        perCall += weight * (each - perCall);
     }
 
     /** The loop turns. */
--- a/src/main/java/damsonseam/front/SelfWatch.java
+++ b/src/main/java/damsonseam/front/SelfWatch.java
@@ -47,6 +47,8 @@
     private long lateBefore;
     private long collections;
     private double cacheRoom = 1;
+    private double cpuAtLook;
+    private long takenAtLook;
 
     SelfWatch(FrontSettings settings, Router router, Resolver resolver, LookupCache cache, FrontLoad load) {
         this.settings = settings;
@@ -79,6 +81,10 @@
             collections = sample.collections();
             memory.collected(now, sample.heap());
         }
+        long taken = router.counters().taken;
+        load.look(sample.loopCpuMs() - cpuAtLook, (int) (taken - takenAtLook));
+        cpuAtLook = sample.loopCpuMs();
+        takenAtLook = taken;
         cacheRoom = memory.cacheRoom(now);
         cache.room(cacheRoom);
         load.pressure(Math.max(memory.pressure(ranks), tables.pressure(
--- a/src/main/java/damsonseam/overload/Levels.java
+++ b/src/main/java/damsonseam/overload/Levels.java
@@ -55,9 +55,18 @@
         return stopped[rank];
     }
 
-    /** Pressure in ranks of a value between its onset and its ceiling; below the onset it is negative. */
+    /**
+     * Pressure in ranks of a value: 0 at its onset, the number of ranks at its ceiling, and at its abatement level the
+     * abatement of rank 0. Each resource has its own, as a wait ends at nothing and a heap does not.
+     */
+    static double pressure(double value, double abatement, double onset, double ceiling, int ranks) {
+        return value < onset ? ABATEMENT * (value - onset) / (onset - abatement)
+                : (value - onset) / (ceiling - onset) * ranks;
+    }
+
+    /** The same for a resource that is in use at all times: its abatement level is half a span under its onset. */
     static double pressure(double value, double onset, double ceiling, int ranks) {
-        return (value - onset) / (ceiling - onset) * ranks;
+        return pressure(value, onset - ABATEMENT * (ceiling - onset), onset, ceiling, ranks);
     }
 
     /** Whether any rank is stopped, wholly or in part. */
--- a/src/test/java/damsonseam/overload/GateTest.java
+++ b/src/test/java/damsonseam/overload/GateTest.java
@@ -149,6 +149,22 @@
         }
     }
 
+    /** With one rank or many: when the queue is empty again nobody is refused any more. */
+    @Property(tries = 16)
+    void allIsTakenAgainAfterABurst(@ForAll @IntRange(min = 1, max = 16) int ranks) {
+        SimLoop loop = new SimLoop(ranks, 0.05, gate(ranks));
+        for (double at = 0; at < 500; at += 0.005) {
+            loop.offer(at, (int) (at * 1_000) % ranks, 1);
+        }
+        assertTrue(loop.refused[0] > 0);
+        loop.run(700);
+        int refused = java.util.Arrays.stream(loop.refused).sum();
+        for (double at = 700; at < 1_200; at += 0.1) {
+            loop.offer(at, (int) (at * 10) % ranks, 1);
+        }
+        assertEquals(refused, java.util.Arrays.stream(loop.refused).sum());
+    }
+
     /** A pressure that rests on the onset does not switch a rank on and off with every call. */
     @Test
     void aPressureAtTheOnsetDoesNotFlap() {
