load and bench overload: open arrivals, saturation, a front in a process of its own

Need: nothing could put a front past its limit and tell what became of each class of call.

Change: package load (profiles, Poisson arrivals by their integral, delays from when a question was due, series of 100 ms by class and end, saturation by doubling and halving, picture), command load, bench overload with the gate and three baselines, the front in its own process. Numbers of all commands are checked before anything starts; gRPC's log goes the structured way; lookup says that nobody listens. The front tells its longest moment of the module.

--- /dev/null
+++ b/src/main/java/damsonseam/bench/OverloadBench.java
@@ -0,0 +1,138 @@
+package damsonseam.bench;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import damsonseam.config.Endpoint;
+import damsonseam.config.FrontSettings;
+import damsonseam.config.Span;
+import damsonseam.load.Load;
+import damsonseam.load.LoadPlan;
+import damsonseam.load.LoadPlot;
+import damsonseam.load.LoadResult;
+import damsonseam.load.Profile;
+import damsonseam.standin.CalculatorSettings;
+import damsonseam.standin.Scenario;
+import damsonseam.standin.Surroundings;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * One front past its limit: at 1, 1.5, 3 and 10 times the rate it saturates at, and through a tenfold burst of ten
+ * seconds, with the project's gate, without any, with a plain queue limit, and shedding at random. The front is a
+ * process of its own; calculators are made so large that the front is what runs short.
+ */
+public final class OverloadBench {
+    private static final double FIRST_RATE = 4_000;
+    private static final double[] TIMES = {1, 1.5, 3, 10};
+    private static final double BEFORE_S = 5;
+    private static final double BURST_S = 10;
+    private static final double AFTER_S = 6;
+    private static final double BELOW = 0.8;
+    private static final double BACK_SHARE = 0.97;
+    private static final double CHANCE = 0.05;
+    private static final String HEAP = "1g";
+
+    private static long refusedBefore;
+
+    private OverloadBench() { }
+
+    /**
+     * Runs it.
+     *
+     * @param seconds of each rate
+     * @param most times the saturating rate that is tried at most
+     * @param baselines what admits calls, one after another
+     * @param plots folder for pictures of the bursts, or null
+     */
+    public static Map<String, Object> run(double seconds, double most, List<Baseline> baselines, Path plots)
+            throws Exception {
+        Map<String, Object> report = new LinkedHashMap<>();
+        double saturation = 0;
+        for (Baseline baseline : baselines) {
+            try (Surroundings around = surroundings();
+                    FrontProcess front = new FrontProcess(settings(around), baseline, HEAP)) {
+                LoadPlan plan = plan(around, front);
+                Load.run(plan.with(Profile.steady(FIRST_RATE), 2 * seconds));
+                if (saturation == 0) {
+                    saturation = Load.saturation(plan, FIRST_RATE, Math.min(3, seconds));
+                    report.put("saturationPerS", Math.round(saturation));
+                } else {
+                    Load.run(plan.with(Profile.steady(saturation), 2 * seconds));
+                }
+                Map<String, Object> of = new LinkedHashMap<>();
+                for (double times : TIMES) {
+                    if (times <= most) {
+                        of.put(times + " times", rate(front, plan, times * saturation, seconds));
+                    }
+                }
+                of.put("burst", burst(front, plan, saturation, most, plots == null ? null
+                        : plots.resolve("burst-" + baseline.name().toLowerCase(java.util.Locale.ROOT) + ".png")));
+                report.put(baseline.name().toLowerCase(java.util.Locale.ROOT), of);
+            }
+        }
+        return report;
+    }
+
+    private static Map<String, Object> rate(FrontProcess front, LoadPlan plan, double perS, double seconds)
+            throws Exception {
+        front.reset();
+        LoadResult result = Load.run(plan.with(Profile.steady(perS), seconds));
+        Map<String, Object> report = result.report(1, seconds);
+        delays(report, result, front.report());
+        report.put("invertedSeconds", result.invertedSeconds(CHANCE));
+        Thread.sleep(1_000);
+        return report;
+    }
+
+    private static Map<String, Object> burst(FrontProcess front, LoadPlan plan, double saturation, double most,
+            Path plot) throws Exception {
+        double until = BEFORE_S + BURST_S;
+        front.reset();
+        LoadResult result = Load.run(plan.with(Profile.burst(BELOW * saturation, Math.min(10, most) / BELOW, BEFORE_S,
+                until), until + AFTER_S));
+        Map<String, Object> report = result.report(BEFORE_S, until);
+        delays(report, result, front.report());
+        report.put("invertedSeconds", result.invertedSeconds(CHANCE));
+        report.put("backAfterS", result.backAfter(until, BACK_SHARE));
+        report.put("worthShareAfter", result.worthShare(until + 1, until + AFTER_S));
+        if (plot != null) {
+            LoadPlot.write(result, plot.getFileName().toString().replace(".png", ""), plot);
+        }
+        Thread.sleep(1_000);
+        return report;
+    }
+
+    private static void delays(Map<String, Object> report, LoadResult result, JsonNode front) {
+        report.put("answerP99Ms", result.answerDelays().getValueAtPercentile(99) / 1_000.0);
+        report.put("loopP50Ms", front.get("loopP50Ms").asDouble());
+        report.put("loopP99Ms", front.get("loopP99Ms").asDouble());
+        report.put("loopMaxMs", front.get("loopMaxMs").asDouble());
+        report.put("moduleLongestMomentMs", front.get("longestMomentMs").asDouble());
+        report.put("refusedByModule", front.get("refused").asLong() - refusedBefore);
+        refusedBefore = front.get("refused").asLong();
+        report.put("sentLate", result.sentLateCount());
+    }
+
+    static Surroundings surroundings() throws Exception {
+        CalculatorSettings fast = new CalculatorSettings(200_000.0, null, null, null, null, 60_000, null, null, null,
+                null, null);
+        Scenario.Kind cheap = new Scenario.Kind("simulacion", "59821", 0.94, Span.of("1.5 s"), Span.of("9 s"),
+                Span.of("3 s"), 1.0, 0.25, Span.of("20 ms"), 0);
+        Scenario.Kind dear = new Scenario.Kind("tasacion-firma", "59828", 0.06, Span.of("1.2 s"), Span.of("6 s"),
+                Span.of("2.2 s"), 8.0, 0.25, Span.of("20 ms"), 0);
+        return new Surroundings(new Scenario("overload", null, 1L, 1, new Scenario.Calculators(8, fast),
+                new Scenario.Load(1.0, List.of(cheap, dear)), null, null, null), null);
+    }
+
+    static FrontSettings settings(Surroundings around) {
+        return around.frontSettings(0, new Endpoint("127.0.0.1", 0));
+    }
+
+    private static LoadPlan plan(Surroundings around, FrontProcess front) {
+        List<LoadPlan.Kind> kinds = List.of(new LoadPlan.Kind("simulacion", "59821", 0.94, 1_500, 3_000, 1, 0.25),
+                new LoadPlan.Kind("tasacion-firma", "59828", 0.06, 1_200, 2_200, 8, 0.25));
+        return new LoadPlan(List.of(front.address()), Surroundings.SUFFIX, kinds, Profile.steady(1), 1, 1, 3, 48,
+                5_000, around.calculators().size());
+    }
+}
--- a/src/main/java/damsonseam/cli/BadDayCommand.java
+++ b/src/main/java/damsonseam/cli/BadDayCommand.java
@@ -44,6 +44,8 @@
 
     @Override
     public Integer call() throws Exception {
+        Ranges.check("--fronts", fronts, 1, 500);
+        Ranges.check("--seconds", seconds, 1, 86_400);
         Scenario given = file == null ? standard() : Yaml.read(file, Scenario.class);
         Scenario scenario = new Scenario(given.name(),
                 seconds == null ? given.length() : Span.ms(seconds * 1_000), seed == null ? given.seed() : seed,
--- a/src/main/java/damsonseam/cli/BenchCommand.java
+++ b/src/main/java/damsonseam/cli/BenchCommand.java
@@ -1,16 +1,22 @@
 package damsonseam.cli;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import damsonseam.bench.Baseline;
 import damsonseam.bench.DrainBench;
 import damsonseam.bench.MemoryBench;
+import damsonseam.bench.OverloadBench;
 import damsonseam.bench.PathBench;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
 /** The measurements that are kept. */
 @Command(name = "bench", mixinStandardHelpOptions = true, description = "Measurements; each prints one JSON line.",
-        subcommands = {BenchCommand.PathCommand.class, BenchCommand.Memory.class, BenchCommand.Drain.class})
+        subcommands = {BenchCommand.PathCommand.class, BenchCommand.Memory.class, BenchCommand.Drain.class,
+            BenchCommand.Overload.class})
 final class BenchCommand implements Runnable {
     @picocli.CommandLine.Spec
     private picocli.CommandLine.Model.CommandSpec spec;
@@ -29,6 +35,7 @@
 
         @Override
         public Integer call() throws Exception {
+            Ranges.check("--seconds", seconds, 0.5, 3_600);
             System.out.println(new ObjectMapper().writeValueAsString(PathBench.run(seconds)));
             return Commands.FINE;
         }
@@ -42,11 +49,44 @@
 
         @Override
         public Integer call() throws Exception {
+            Ranges.check("--calls", calls, 1, 10_000_000);
             System.out.println(new ObjectMapper().writeValueAsString(MemoryBench.run(calls)));
             return Commands.FINE;
         }
     }
 
+    /** One front past its limit. */
+    @Command(name = "overload", mixinStandardHelpOptions = true, description = {
+        "One front, a process of its own, at 1, 1.5, 3 and 10 times the rate it saturates at and through a tenfold",
+        "burst; with the project's gate, without, with a plain queue limit, and shedding at random."})
+    static final class Overload implements Callable<Integer> {
+        @Option(names = "--seconds", defaultValue = "6", paramLabel = "N", description = "Of each rate.")
+        private double seconds;
+
+        @Option(names = "--most", defaultValue = "10", paramLabel = "N", description = "Times the saturating rate "
+                + "that is tried at most.")
+        private double most;
+
+        @Option(names = "--admission", split = ",", defaultValue = "LEVELS,NONE,QUEUE,RANDOM", description = "What "
+                + "admits calls, one after another: ${COMPLETION-CANDIDATES} (default: ${DEFAULT-VALUE}).")
+        private List<Baseline> admission;
+
+        @Option(names = "--out", paramLabel = "DIR", description = "Where pictures of the bursts are left.")
+        private Path out;
+
+        @Override
+        public Integer call() throws Exception {
+            Ranges.check("--seconds", seconds, 2, 3_600);
+            Ranges.check("--most", most, 1, 100);
+            if (out != null) {
+                Files.createDirectories(out);
+            }
+            System.out.println(new ObjectMapper().writeValueAsString(OverloadBench.run(seconds, most, admission,
+                    out)));
+            return Commands.FINE;
+        }
+    }
+
     /** Time from drain news to the last set-up. */
     @Command(name = "drain", mixinStandardHelpOptions = true, description = {
         "Time from drain news, as the directory sends it, to the last set-up that reaches the calculator."})
@@ -56,6 +96,7 @@
 
         @Override
         public Integer call() throws Exception {
+            Ranges.check("--drains", drains, 1, 10_000);
             System.out.println(new ObjectMapper().writeValueAsString(DrainBench.run(drains)));
             return Commands.FINE;
         }
--- a/src/main/java/damsonseam/cli/Commands.java
+++ b/src/main/java/damsonseam/cli/Commands.java
@@ -17,7 +17,7 @@
         description = "Sets calls up over trunk groups, asked by ENUM over DNS.",
         footer = {"", "Exit codes: 0 fine, 1 failed or a rule broken, 2 wrong usage or bad settings."},
         subcommands = {FrontCommand.class, StandinCommand.class, DemoCommand.class, LookupCommand.class,
-            BadDayCommand.class, AuditCommand.class, BenchCommand.class,
+            BadDayCommand.class, AuditCommand.class, LoadCommand.class, BenchCommand.class,
             AdapterCommand.class, CommandLine.HelpCommand.class})
 public final class Commands implements Runnable {
     /** All went well. */
--- a/src/main/java/damsonseam/cli/DemoCommand.java
+++ b/src/main/java/damsonseam/cli/DemoCommand.java
@@ -32,6 +32,9 @@
 
     @Override
     public Integer call() throws Exception {
+        Ranges.check("--port", port, 0, 65_535);
+        Ranges.check("--seconds", seconds, 0, 1e9);
+        Ranges.check("--calculators", calculators, 1, 99);
         Scenario scenario = new Scenario("demo", null, null, 1, new Scenario.Calculators(calculators, null),
                 null, null, null, null);
         try (Surroundings around = new Surroundings(scenario, null);
--- a/src/main/java/damsonseam/cli/FrontCommand.java
+++ b/src/main/java/damsonseam/cli/FrontCommand.java
@@ -28,6 +28,7 @@
 
     @Override
     public Integer call() throws Exception {
+        Ranges.check("--seconds", seconds, 0, 1e9);
         FrontSettings settings = Yaml.read(config, FrontSettings.class);
         if (check) {
             System.out.println(config + ": fine");
--- a/src/main/java/damsonseam/cli/Logging.java
+++ b/src/main/java/damsonseam/cli/Logging.java
@@ -10,6 +10,7 @@
 import ch.qos.logback.core.FileAppender;
 import ch.qos.logback.core.OutputStreamAppender;
 import org.slf4j.LoggerFactory;
+import org.slf4j.bridge.SLF4JBridgeHandler;
 
 /**
  * The structured log: JSON lines to a file or to standard error, written by a thread of its own. Where it falls
@@ -22,6 +23,9 @@
     private Logging() { }
 
     static void configure(String file, Level level) {
+        // gRPC speaks through java.util.logging: it goes the same way as all else.
+        SLF4JBridgeHandler.removeHandlersForRootLogger();
+        SLF4JBridgeHandler.install();
         LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
         context.reset();
         JsonEncoder encoder = new JsonEncoder();
--- a/src/main/java/damsonseam/cli/LookupCommand.java
+++ b/src/main/java/damsonseam/cli/LookupCommand.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import damsonseam.config.Endpoint;
+import damsonseam.config.SettingsException;
 import damsonseam.dns.CallHints;
 import damsonseam.dns.DnsCodec;
 import damsonseam.dns.DnsFormatException;
@@ -15,6 +16,7 @@
 import java.net.DatagramSocket;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.PortUnreachableException;
 import java.net.SocketTimeoutException;
 import java.security.SecureRandom;
 import java.util.Arrays;
@@ -78,7 +80,8 @@
     }
 
     @Override
-    public Integer call() throws IOException, DnsFormatException {
+    public Integer call() throws IOException, DnsFormatException, SettingsException {
+        Ranges.check("--timeout", timeout, 0.01, 3_600);
         Message query = new Message(new SecureRandom().nextInt(1 << 16));
         try {
             Name name = E164Name.of(number.startsWith("+") ? number.substring(1) : number,
@@ -95,6 +98,10 @@
         try {
             Message answer = ask(query.toWire());
             return print(result, answer);
+        } catch (PortUnreachableException e) {
+            System.err.println("damsonseam: nobody listens at " + server + " (UDP): is the front or authority running, "
+                    + "and is that its port?");
+            return Commands.FAILED;
         } catch (SocketTimeoutException e) {
             result.put("result", "no answer");
             System.out.println(new ObjectMapper().writeValueAsString(result));
--- a/src/main/java/damsonseam/front/FrontReport.java
+++ b/src/main/java/damsonseam/front/FrontReport.java
@@ -28,8 +28,11 @@
  * @param heap share of the heap left in use by the last collection
  * @param cacheRoom share of its room that the cache of look-ups may fill
  * @param seconds seconds by the state found for each
+ * @param longestMomentMs longest time that the decision module took for one moment
+ * @param open calls open now
  */
 public record FrontReport(long taken, long stood, long refused, long failed, long setUps, long read, long repeated,
         long tooOld, long queueFull, long[] offered, long[] turnedAway, double loopP50Ms, double loopP99Ms,
         double loopMaxMs, double intakeP99Ms, double intakeMaxMs, double perCallUs, long loopOctetsPerCall,
-        double collectorMs, double heap, double cacheRoom, Map<Cause, Long> seconds) { }
+        double collectorMs, double heap, double cacheRoom, Map<Cause, Long> seconds,
+        double longestMomentMs, int open) { }
--- a/src/main/java/damsonseam/front/FrontServer.java
+++ b/src/main/java/damsonseam/front/FrontServer.java
@@ -138,7 +138,9 @@
                 listener.intake().flush();
             }, () -> {
                 resolver.deliver(loop.now());
-                router.settle(loop.now());
+                double before = loop.now();
+                router.settle(before);
+                watch.moment(loop.now() - before);
                 trunks.flush();
                 listener.intake().flush();
             });
@@ -189,14 +191,15 @@
                     in.queueFull, in.offered, in.refused, loopGauge.percentile(50), loopGauge.percentile(99),
                     loopGauge.most(), intakeGauge.percentile(99), intakeGauge.most(),
                     listener.load().perCall() * 1_000, sample.loopOctets() / Math.max(1, c.taken),
-                    sample.pausedMs(), sample.heap(), watch.cacheRoom(), watch.seconds());
+                    sample.pausedMs(), sample.heap(), watch.cacheRoom(), watch.seconds(), watch.longestMoment(),
+                    router.open());
         });
     }
 
     /** Forgets the delays measured so far, as at the end of a warm-up. */
     public void resetDelays() {
         call(() -> {
-            watch.gauge().reset();
+            watch.reset();
             return null;
         });
         listener.intake().stall(() -> listener.intake().gauge().reset());
--- a/src/main/java/damsonseam/front/SelfWatch.java
+++ b/src/main/java/damsonseam/front/SelfWatch.java
@@ -47,6 +47,8 @@
     private long lateBefore;
     private long collections;
     private double cacheRoom = 1;
+    private double longestMoment;
+    private double momentInWindow;
     private double cpuAtLook;
     private long takenAtLook;
 
@@ -111,16 +113,34 @@
                     .addKeyValue("state", found.toString()).addKeyValue("delayMs", Math.round(window.delay()))
                     .addKeyValue("loopCpuMs", Math.round(window.loopCpu()))
                     .addKeyValue("collectorMs", Math.round(window.collector()))
+                    .addKeyValue("momentMs", Math.round(momentInWindow))
                     .addKeyValue("heap", sample.heap()).addKeyValue("cpu", sample.cpu())
                     .addKeyValue("perCallUs", Math.round(load.perCall() * 1_000)).log("front state");
             cause = found;
         }
+        momentInWindow = 0;
         before = sample;
         setUpsBefore = counters.setUps;
         lateBefore = counters.timedOut;
         diagnoseAt = now + DIAGNOSE_EVERY;
     }
 
+    /** The module has taken so long for a moment, in milliseconds. */
+    void moment(double ms) {
+        longestMoment = Math.max(longestMoment, ms);
+        momentInWindow = Math.max(momentInWindow, ms);
+    }
+
+    double longestMoment() {
+        return longestMoment;
+    }
+
+    /** Forgets the delays measured so far. */
+    void reset() {
+        gauge.reset();
+        longestMoment = 0;
+    }
+
     LoopGauge gauge() {
         return gauge;
     }
--- /dev/null
+++ b/src/main/java/damsonseam/load/LoadSender.java
@@ -0,0 +1,243 @@
+package damsonseam.load;
+
+import damsonseam.dns.CallHints;
+import damsonseam.dns.DnsCodec;
+import damsonseam.dns.E164Name;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.PortUnreachableException;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.DatagramChannel;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.locks.LockSupport;
+import org.xbill.DNS.DClass;
+import org.xbill.DNS.Message;
+import org.xbill.DNS.OPTRecord;
+import org.xbill.DNS.Record;
+import org.xbill.DNS.Section;
+import org.xbill.DNS.Type;
+
+/** One thread of a load: sends what is due, reads what has come, and gives up what was waited for long enough. */
+final class LoadSender implements Runnable {
+    private static final int IDS = 1 << 16;
+    /** Questions out on one socket at most, well below the ids, so that an id does not come back too soon. */
+    private static final int OUT_PER_SOCKET = 20_000;
+    private static final int MOST_SOCKETS = 64;
+    private static final int SENT_AT_ONCE = 32;
+    private static final int BUFFER = 4 << 20;
+    private static final int TAIL_DIGITS = 9;
+    private static final double LATE_MS = 1;
+    private static final double MS = 1e6;
+
+    private final LoadPlan plan;
+    private final double part;
+    private final long origin;
+    private final SplittableRandom random;
+    private final LoadResult result;
+    private final List<Socket> sockets = new ArrayList<>();
+    private final byte[][] templates;
+    private final ByteBuffer in = ByteBuffer.allocateDirect(2_048);
+    private final ByteBuffer out = ByteBuffer.allocateDirect(2_048);
+    private final double mostPatience;
+    private final double shares;
+    private int nextSocket;
+    private long sequence;
+    private IOException failed;
+
+    /** One socket with the questions that are out on it, by id. */
+    private static final class Socket {
+        final DatagramChannel channel;
+        final double[] dueAt = new double[IDS];
+        final byte[] kind = new byte[IDS];
+        int nextId = 1;
+        int oldest = 1;
+
+        Socket(DatagramChannel channel) {
+            this.channel = channel;
+            java.util.Arrays.fill(dueAt, Double.NaN);
+        }
+    }
+
+    LoadSender(LoadPlan plan, int ordinal, long originNs, double peakPerS) throws IOException {
+        this.plan = plan;
+        part = 1.0 / plan.threads();
+        origin = originNs;
+        random = new SplittableRandom(plan.seed() * 31 + ordinal);
+        result = new LoadResult(plan.kinds(), plan.seconds());
+        mostPatience = plan.kinds().stream().mapToDouble(LoadPlan.Kind::patienceMs).max().orElse(1);
+        shares = plan.kinds().stream().mapToDouble(LoadPlan.Kind::share).sum();
+        double out = peakPerS * part * mostPatience / 1_000;
+        int count = (int) Math.max(1, Math.min(MOST_SOCKETS, Math.ceil(out / OUT_PER_SOCKET)));
+        count = Math.max(count, Math.max(plan.to().size(), (plan.senders() + plan.threads() - 1) / plan.threads()));
+        for (int i = 0; i < count; i++) {
+            int sender = (ordinal + i * plan.threads()) % plan.senders();
+            DatagramChannel channel = DatagramChannel.open();
+            channel.configureBlocking(false);
+            channel.setOption(StandardSocketOptions.SO_RCVBUF, BUFFER);
+            channel.bind(new InetSocketAddress(InetAddress.getByAddress(new byte[] {127, 0, 0, (byte) (1 + sender)}), 0));
+            channel.connect(plan.to().get(i % plan.to().size()));
+            sockets.add(new Socket(channel));
+        }
+        templates = plan.kinds().stream().map(this::template).toArray(byte[][]::new);
+    }
+
+    private byte[] template(LoadPlan.Kind kind) {
+        Message question = new Message(0);
+        question.addRecord(Record.newRecord(E164Name.of(kind.prefix() + "0".repeat(TAIL_DIGITS),
+                E164Name.suffix(plan.suffix())), Type.NAPTR, DClass.IN), Section.QUESTION);
+        question.addRecord(new OPTRecord(DnsCodec.SAFE_UDP, 0, 0, 0, List.of(new CallHints(false,
+                Math.round(kind.patienceMs())).option())), Section.ADDITIONAL);
+        return question.toWire();
+    }
+
+    private double now() {
+        return (System.nanoTime() - origin) / MS;
+    }
+
+    @Override
+    public void run() {
+        try {
+            double end = plan.seconds() * 1_000;
+            double due = plan.profile().after(0, mass());
+            while (now() < end + mostPatience && (now() < end || waiting())) {
+                double now = now();
+                int sent = 0;
+                while (due <= now && due < end && sent++ < SENT_AT_ONCE) {
+                    send(due, now);
+                    due = plan.profile().after(due, mass());
+                }
+                read();
+                giveUp(now);
+                if (sent == 0) {
+                    LockSupport.parkNanos((long) Math.max(0, Math.min(50_000, (due - now()) * MS)));
+                }
+            }
+            giveUp(Double.POSITIVE_INFINITY);
+        } catch (IOException e) {
+            failed = e;
+        } finally {
+            for (Socket s : sockets) {
+                try {
+                    s.channel.close();
+                } catch (IOException e) {
+                    failed = failed == null ? e : failed;
+                }
+            }
+        }
+    }
+
+    /** Calls of all threads until this one has its next. */
+    private double mass() {
+        return -Math.log(1 - random.nextDouble()) / part;
+    }
+
+    private boolean waiting() {
+        return sockets.stream().anyMatch(s -> s.oldest != s.nextId);
+    }
+
+    private void send(double due, double now) throws IOException {
+        int kind = draw();
+        Socket s = sockets.get(nextSocket);
+        nextSocket = (nextSocket + 1) % sockets.size();
+        int id = s.nextId;
+        s.nextId = s.nextId % (IDS - 1) + 1;
+        if (!Double.isNaN(s.dueAt[id])) {
+            end(s, id, LoadResult.End.UNANSWERED, now);
+        }
+        if (s.nextId == s.oldest) {
+            s.oldest = s.oldest % (IDS - 1) + 1;
+        }
+        byte[] octets = templates[kind];
+        octets[0] = (byte) (id >>> 8);
+        octets[1] = (byte) id;
+        long tail = Math.floorMod(sequence++ * plan.threads() + random.nextInt(plan.threads()), plan.known());
+        // Two digits name the first choice, seven the caller; they are asked for in reverse, a label each.
+        long digits = tail % plan.first() * 10_000_000L + tail;
+        for (int i = 0; i < TAIL_DIGITS; i++) {
+            octets[DnsCodec.HEADER + 2 * i + 1] = (byte) ('0' + digits % 10);
+            digits /= 10;
+        }
+        s.dueAt[id] = due;
+        s.kind[id] = (byte) kind;
+        if (now - due > LATE_MS) {
+            result.sentLate();
+        }
+        out.clear().put(octets).flip();
+        try {
+            s.channel.write(out);
+        } catch (PortUnreachableException e) {
+            // Nobody listens now; the call goes unanswered and the load goes on.
+        }
+    }
+
+    private int draw() {
+        double x = random.nextDouble() * shares;
+        for (int k = 0; k < plan.kinds().size() - 1; k++) {
+            x -= plan.kinds().get(k).share();
+            if (x < 0) {
+                return k;
+            }
+        }
+        return plan.kinds().size() - 1;
+    }
+
+    private void read() throws IOException {
+        for (Socket s : sockets) {
+            for (int i = 0; i < SENT_AT_ONCE; i++) {
+                in.clear();
+                try {
+                    if (s.channel.read(in) <= 0) {
+                        break;
+                    }
+                } catch (PortUnreachableException e) {
+                    break;
+                }
+                answered(s);
+            }
+        }
+    }
+
+    private void answered(Socket s) {
+        int id = in.position() < DnsCodec.HEADER ? 0 : in.getShort(0) & 0xffff;
+        if (Double.isNaN(s.dueAt[id])) {
+            return;
+        }
+        double now = now();
+        int rcode = in.get(3) & 0xf;
+        boolean stands = rcode == 0 && in.getShort(6) > 0;
+        boolean inAim = now - s.dueAt[id] <= plan.kinds().get(s.kind[id]).aimMs();
+        end(s, id, stands ? inAim ? LoadResult.End.IN_AIM : LoadResult.End.LATE
+                : rcode == 5 ? LoadResult.End.REFUSED : LoadResult.End.FAILED, now);
+    }
+
+    private void end(Socket s, int id, LoadResult.End end, double now) {
+        result.ended(s.kind[id], s.dueAt[id], end, now - s.dueAt[id]);
+        s.dueAt[id] = Double.NaN;
+    }
+
+    private void giveUp(double now) {
+        for (Socket s : sockets) {
+            while (s.oldest != s.nextId) {
+                int id = s.oldest;
+                if (!Double.isNaN(s.dueAt[id])) {
+                    if (now - s.dueAt[id] < plan.kinds().get(s.kind[id]).patienceMs()) {
+                        break;
+                    }
+                    end(s, id, LoadResult.End.UNANSWERED, now);
+                }
+                s.oldest = s.oldest % (IDS - 1) + 1;
+            }
+        }
+    }
+
+    LoadResult result() throws IOException {
+        if (failed != null) {
+            throw failed;
+        }
+        return result;
+    }
+}
--- a/src/test/java/damsonseam/ArchitectureTest.java
+++ b/src/test/java/damsonseam/ArchitectureTest.java
@@ -13,7 +13,8 @@
 class ArchitectureTest {
     private static final String[] ABOVE_CORE = {"damsonseam.dns..", "damsonseam.ss7..", "damsonseam.config..",
         "damsonseam.front..", "damsonseam.standin..", "damsonseam.audit..", "damsonseam.day..",
-        "damsonseam.cli..", "damsonseam.adapter..", "damsonseam.directory.."};
+        "damsonseam.cli..", "damsonseam.adapter..", "damsonseam.directory..", "damsonseam.load..",
+        "damsonseam.bench.."};
 
     @ArchTest
     static final ArchRule POLICY_DEPENDS_ON_NOTHING = classes().that().resideInAPackage("damsonseam")
@@ -23,6 +24,12 @@
     static final ArchRule CORE_KNOWS_NOTHING_ABOVE = noClasses().that().resideInAPackage("damsonseam.core..")
             .should().dependOnClassesThat().resideInAnyPackage(ABOVE_CORE);
 
+    @ArchTest
+    static final ArchRule OVERLOAD_KNOWS_NO_OTHER_PART = noClasses()
+            .that().resideInAPackage("damsonseam.overload..")
+            .should().dependOnClassesThat().resideInAnyPackage(ABOVE_CORE)
+            .orShould().dependOnClassesThat().resideInAnyPackage("damsonseam", "damsonseam.core..");
+
     @ArchTest
     static final ArchRule PROTOCOLS_KNOW_NO_FRONT = noClasses()
             .that().resideInAnyPackage("damsonseam.dns..", "damsonseam.ss7..")
@@ -41,13 +48,15 @@
 
     @ArchTest
     static final ArchRule NO_IO_WHERE_DECISIONS_ARE = noClasses()
-            .that().resideInAnyPackage("damsonseam", "damsonseam.core..", "damsonseam.dns..", "damsonseam.ss7..")
+            .that().resideInAnyPackage("damsonseam", "damsonseam.core..", "damsonseam.dns..", "damsonseam.ss7..",
+                    "damsonseam.overload..")
             .should().dependOnClassesThat().resideInAnyPackage("io.netty..", "io.grpc..", "java.net..",
                     "java.nio.channels..", "java.nio.file..", "java.util.concurrent.locks..");
 
     @ArchTest
     static final ArchRule NO_CLOCK_WHERE_DECISIONS_ARE = noClasses()
-            .that().resideInAnyPackage("damsonseam", "damsonseam.core..", "damsonseam.dns..", "damsonseam.ss7..")
+            .that().resideInAnyPackage("damsonseam", "damsonseam.core..", "damsonseam.dns..", "damsonseam.ss7..",
+                    "damsonseam.overload..")
             .should().callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
             .orShould().callMethod(Math.class, "random").orShould().accessClassesThat()
             .areAssignableTo(Thread.class);
