--- a/src/main/java/damsonseam/bench/FrontProcess.java
+++ b/src/main/java/damsonseam/bench/FrontProcess.java
@@ -17,6 +17,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
@@ -36,14 +37,17 @@
     private final BufferedWriter to;
     private final InetSocketAddress address;
 
-    /** Starts a front with what admits its calls and so much heap, and waits until it is ready. */
-    FrontProcess(FrontSettings settings, Baseline admission, String heap) throws IOException {
+    /** Starts a front with what admits its calls and these options of its Java machine; waits until it is ready. */
+    FrontProcess(FrontSettings settings, Baseline admission, List<String> options) throws IOException {
         folder = Files.createTempDirectory("front");
         Path config = folder.resolve("front.yaml");
         new ObjectMapper(new YAMLFactory()).writeValue(config.toFile(), settings);
-        process = new ProcessBuilder(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-Xmx" + heap, "-cp", System.getProperty("java.class.path"), FrontProcess.class.getName(),
-                config.toString(), admission.name())).redirectError(ProcessBuilder.Redirect.DISCARD).start();
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(options);
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), FrontProcess.class.getName(),
+                config.toString(), admission.name()));
+        process = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.DISCARD).start();
         from = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
         to = new BufferedWriter(new OutputStreamWriter(process.getOutputStream(), StandardCharsets.UTF_8));
         address = new InetSocketAddress("127.0.0.1", answer().get("port").asInt());
--- a/src/main/java/damsonseam/cli/BenchCommand.java
+++ b/src/main/java/damsonseam/cli/BenchCommand.java
@@ -71,6 +71,10 @@
                 + "admits calls, one after another: ${COMPLETION-CANDIDATES} (default: ${DEFAULT-VALUE}).")
         private List<Baseline> admission;
 
+        @Option(names = "--java", defaultValue = "-Xmx1g", paramLabel = "OPTIONS", description = "Options of the "
+                + "front's Java machine (default: ${DEFAULT-VALUE}).")
+        private String options;
+
         @Option(names = "--out", paramLabel = "DIR", description = "Where pictures of the bursts are left.")
         private Path out;
 
@@ -82,7 +86,7 @@
                 Files.createDirectories(out);
             }
             System.out.println(new ObjectMapper().writeValueAsString(OverloadBench.run(seconds, most, admission,
-                    out)));
+                    List.of(options.trim().split(" +")), out)));
             return Commands.FINE;
         }
     }
--- a/src/main/java/damsonseam/cli/LoadCommand.java
+++ b/src/main/java/damsonseam/cli/LoadCommand.java
@@ -1,7 +1,6 @@
 package damsonseam.cli;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
-import damsonseam.config.Endpoint;
 import damsonseam.config.FrontSettings;
 import damsonseam.config.Yaml;
 import damsonseam.load.Load;
--- a/src/main/java/damsonseam/cli/Ranges.java
+++ b/src/main/java/damsonseam/cli/Ranges.java
@@ -11,7 +11,8 @@
     /** A number within its range; null, not given, is fine. */
     static void check(String option, Number value, double least, double most) throws SettingsException {
         if (value != null && !(value.doubleValue() >= least && value.doubleValue() <= most)) {
-            throw new SettingsException(option + ": expected " + text(least) + " to " + text(most) + ", found " + value);
+            throw new SettingsException(option + ": expected " + text(least) + " to " + text(most)
+                    + ", found " + value);
         }
     }
 
--- a/src/main/java/damsonseam/config/FrontSettings.java
+++ b/src/main/java/damsonseam/config/FrontSettings.java
@@ -256,8 +256,8 @@
             Double tableOnset, Span forecast, Double fairMultiple, Integer queue) {
         /** Checks and defaults. */
         public Overload {
-            delayOnset = Check.or(delayOnset, Span.ms(5));
-            delayCeiling = Check.or(delayCeiling, Span.ms(20));
+            delayOnset = Check.or(delayOnset, Span.ms(20));
+            delayCeiling = Check.or(delayCeiling, Span.ms(100));
             memoryOnset = Check.or(memoryOnset, 0.75);
             memoryCeiling = Check.or(memoryCeiling, 0.92);
             tableOnset = Check.or(tableOnset, 0.8);
--- a/src/main/java/damsonseam/load/LoadSender.java
+++ b/src/main/java/damsonseam/load/LoadSender.java
@@ -10,6 +10,8 @@
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.DatagramChannel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -42,6 +44,7 @@
     private final byte[][] templates;
     private final ByteBuffer in = ByteBuffer.allocateDirect(2_048);
     private final ByteBuffer out = ByteBuffer.allocateDirect(2_048);
+    private final Selector selector = Selector.open();
     private final double mostPatience;
     private final double shares;
     private int nextSocket;
@@ -78,9 +81,12 @@
             DatagramChannel channel = DatagramChannel.open();
             channel.configureBlocking(false);
             channel.setOption(StandardSocketOptions.SO_RCVBUF, BUFFER);
-            channel.bind(new InetSocketAddress(InetAddress.getByAddress(new byte[] {127, 0, 0, (byte) (1 + sender)}), 0));
+            byte[] from = {127, 0, 0, (byte) (1 + sender)};
+            channel.bind(new InetSocketAddress(InetAddress.getByAddress(from), 0));
             channel.connect(plan.to().get(i % plan.to().size()));
-            sockets.add(new Socket(channel));
+            Socket socket = new Socket(channel);
+            channel.register(selector, SelectionKey.OP_READ, socket);
+            sockets.add(socket);
         }
         templates = plan.kinds().stream().map(this::template).toArray(byte[][]::new);
     }
@@ -120,13 +126,18 @@
         } catch (IOException e) {
             failed = e;
         } finally {
+            close();
+        }
+    }
+
+    private void close() {
+        try {
+            selector.close();
             for (Socket s : sockets) {
-                try {
-                    s.channel.close();
-                } catch (IOException e) {
-                    failed = failed == null ? e : failed;
-                }
+                s.channel.close();
             }
+        } catch (IOException e) {
+            failed = failed == null ? e : failed;
         }
     }
 
@@ -185,19 +196,32 @@
         return plan.kinds().size() - 1;
     }
 
+    /** Reads what has come; one look at all sockets, as a look at each costs more than the load itself. */
     private void read() throws IOException {
-        for (Socket s : sockets) {
-            for (int i = 0; i < SENT_AT_ONCE; i++) {
-                in.clear();
-                try {
-                    if (s.channel.read(in) <= 0) {
-                        break;
-                    }
-                } catch (PortUnreachableException e) {
+        selector.selectNow(key -> {
+            try {
+                read((Socket) key.attachment());
+            } catch (IOException e) {
+                failed = e;
+            }
+        });
+        if (failed != null) {
+            throw failed;
+        }
+    }
+
+    private void read(Socket s) throws IOException {
+        for (int i = 0; i < SENT_AT_ONCE; i++) {
+            in.clear();
+            try {
+                if (s.channel.read(in) <= 0) {
                     break;
                 }
-                answered(s);
+            } catch (PortUnreachableException e) {
+                // Nobody listens now: what is out goes unanswered.
+                break;
             }
+            answered(s);
         }
     }
 
