--- a/src/main/java/damsonseam/audit/AuditReport.java
+++ b/src/main/java/damsonseam/audit/AuditReport.java
@@ -18,6 +18,10 @@
  * @param violations broken rules in all
  * @param perRule broken rules by rule
  * @param findings the first of them
+ * @param leastAnswerLeftMs least time between an answer and the end of its caller's patience; fronts that stood still
+ *     then are left out
+ * @param leastGuardLeftMs least time beyond the guard between a bad end and the next set-up
  */
 public record AuditReport(long calls, long notTaken, long overtaken, long resolved, long stood, long refused,
-        long failed, long setUps, long violations, Map<Integer, Long> perRule, List<Finding> findings) { }
+        long failed, long setUps, long violations, Map<Integer, Long> perRule, List<Finding> findings,
+        double leastAnswerLeftMs, double leastGuardLeftMs) { }
--- a/src/main/java/damsonseam/audit/Auditor.java
+++ b/src/main/java/damsonseam/audit/Auditor.java
@@ -35,6 +35,7 @@
     /** Time in which a front that stood still must have answered what ran out in the meantime. */
     private static final long BACKLOG_US = 100_000;
     private static final long US_PER_MS = 1_000;
+    private static final long NONE_US = 3_600_000_000L;
     private static final int MOST_FINDINGS = 100;
 
     private final World world;
@@ -62,6 +63,8 @@
     private long refused;
     private long failed;
     private long setUps;
+    private long leastAnswerLeftUs = NONE_US;
+    private long leastGuardLeftUs = NONE_US;
 
     /** One question of a caller and its answer. */
     private static final class Try {
@@ -229,6 +232,9 @@
         calls++;
         // A front that stands still while the time runs out answers when it runs again, and never with a set-up.
         long dueUs = readAt(of.front, of.givesUpUs);
+        if (of.answer != null && dueUs == of.givesUpUs) {
+            leastAnswerLeftUs = Math.min(leastAnswerLeftUs, of.givesUpUs - of.answeredUs);
+        }
         boolean late = of.answer != null && of.answeredUs > of.givesUpUs + SLACK_US;
         if (dueUs > of.givesUpUs && late && !of.stands && of.answeredUs <= dueUs + BACKLOG_US) {
             overtaken++;
@@ -305,6 +311,7 @@
             broken(2, at, front, "set-up for " + number + " to " + server + " while one is out at "
                     + of.out.server);
         }
+        leastGuardLeftUs = Math.min(leastGuardLeftUs, at - of.badEndUs - (long) (world.guardMs() * US_PER_MS));
         if (at - of.badEndUs < (long) (world.guardMs() * US_PER_MS)) {
             broken(5, at, front, "set-up for " + number + " " + (at - of.badEndUs) / US_PER_MS
                     + " ms after an attempt that was given up or cut");
@@ -365,6 +372,6 @@
             all.put(rule, perRule.getOrDefault(rule, 0L));
         }
         return new AuditReport(calls, notTaken, overtaken, resolved, stood, refused, failed, setUps, violations, all,
-                findings);
+                findings, leastAnswerLeftUs / (double) US_PER_MS, leastGuardLeftUs / (double) US_PER_MS);
     }
 }
--- a/src/main/java/damsonseam/cli/BadDayCommand.java
+++ b/src/main/java/damsonseam/cli/BadDayCommand.java
@@ -2,9 +2,11 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.SerializationFeature;
+import damsonseam.audit.CallStory;
 import damsonseam.config.Span;
 import damsonseam.config.Yaml;
 import damsonseam.day.Day;
+import damsonseam.day.DaySearch;
 import damsonseam.standin.Scenario;
 import java.io.IOException;
 import java.io.InputStream;
@@ -14,6 +16,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.Callable;
+import java.util.stream.Stream;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
@@ -39,6 +42,11 @@
             + "(default: ${DEFAULT-VALUE}).")
     private Day.Decider decider;
 
+    @Option(names = "--runs", defaultValue = "1", paramLabel = "N", description = "Days to play: the first as given, "
+            + "the others with other seeds, sizes and troubles, drawn from the hardest so far. Stops at the first "
+            + "broken rule and tells its call's story (default: ${DEFAULT-VALUE}).")
+    private int runs;
+
     @Option(names = "--out", required = true, paramLabel = "DIR", description = "Where the run is left.")
     private Path out;
 
@@ -46,19 +54,54 @@
     public Integer call() throws Exception {
         Ranges.check("--fronts", fronts, 1, 500);
         Ranges.check("--seconds", seconds, 1, 86_400);
+        Ranges.check("--runs", runs, 1, 100_000);
         Scenario given = file == null ? standard() : Yaml.read(file, Scenario.class);
         Scenario scenario = new Scenario(given.name(),
                 seconds == null ? given.length() : Span.ms(seconds * 1_000), seed == null ? given.seed() : seed,
                 fronts == null ? given.fronts() : fronts, given.calculators(), given.load(), given.directory(),
                 given.cycle(), given.troubles());
-        Files.createDirectories(out);
-        Day.Result result = Day.run(scenario, decider, out, true);
+        if (runs == 1) {
+            return play(scenario, out).audit().violations() == 0 ? Commands.FINE : Commands.FAILED;
+        }
+        DaySearch search = new DaySearch(scenario);
+        for (int i = 0; i < runs; i++) {
+            Scenario day = search.next();
+            Path folder = out.resolve("day-" + i);
+            Day.Result result = play(day, folder);
+            search.played(day, result.audit());
+            if (result.audit().violations() > 0) {
+                Map<String, Object> found = new LinkedHashMap<>();
+                found.put("broken", result.audit().findings().get(0));
+                found.put("day", day);
+                found.put("story", CallStory.of(folder, result.audit().findings().get(0)));
+                System.out.println(new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT)
+                        .writeValueAsString(found));
+                return Commands.FAILED;
+            }
+            // A day that broke nothing is told by its report; its wire is some hundred megabytes.
+            deleteWire(folder);
+        }
+        System.out.println("{\"days\":" + runs + ",\"violations\":0,\"leastLeftMs\":" + search.leastLeft() + "}");
+        return Commands.FINE;
+    }
+
+    private static void deleteWire(Path folder) throws IOException {
+        try (Stream<Path> files = Files.list(folder.resolve("wire"))) {
+            for (Path file : files.toList()) {
+                Files.delete(file);
+            }
+        }
+    }
+
+    private Day.Result play(Scenario scenario, Path folder) throws Exception {
+        Files.createDirectories(folder);
+        Day.Result result = Day.run(scenario, decider, folder, true);
         Map<String, Object> report = report(scenario, result);
         ObjectMapper json = new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
-        json.writeValue(out.resolve("report.json").toFile(), report);
+        json.writeValue(folder.resolve("report.json").toFile(), report);
         report.remove("findings");
         System.out.println(new ObjectMapper().writeValueAsString(report));
-        return result.audit().violations() == 0 ? Commands.FINE : Commands.FAILED;
+        return result;
     }
 
     private Map<String, Object> report(Scenario scenario, Day.Result result) {
@@ -83,6 +126,8 @@
         report.put("longestPauseMs", Math.round(result.longestPauseMs()));
         report.put("violations", result.audit().violations());
         report.put("perRule", result.audit().perRule());
+        report.put("leastAnswerLeftMs", result.audit().leastAnswerLeftMs());
+        report.put("leastGuardLeftMs", result.audit().leastGuardLeftMs());
         report.put("findings", result.audit().findings());
         return report;
     }
--- a/src/main/java/damsonseam/core/Router.java
+++ b/src/main/java/damsonseam/core/Router.java
@@ -44,7 +44,8 @@
     private double now;
     private double beatAt = Double.NaN;
     private double beatBefore = Double.NaN;
-    private int owed;
+    /** Calls whose callers are owed an answer, by class; the last place is their sum. */
+    private final int[] owed;
     private boolean unsettled;
     private boolean draining;
 
@@ -59,6 +60,7 @@
         this.directory = directory;
         this.story = story;
         this.module = module.apply(this);
+        owed = new int[settings.module().classes().size() + 1];
     }
 
     // ---- The loop ---------------------------------------------------------------------------------------
@@ -133,7 +135,7 @@
         double deadline = now + timeLeft - age;
         CallRecord call = new CallRecord(calls.nextId(), number, callClass, redialled, now, deadline, caller);
         counters.taken++;
-        owed++;
+        owes(call, 1);
         if (calls.full() || draining) {
             counters.tableFull += draining ? 0 : 1;
             finish(call, FinalAnswer.refused(settings.module().maxReturnAdvice().orElse(0),
@@ -208,10 +210,15 @@
         timers.cancel(call.swapAttemptTimer(null));
         Caller caller = call.close();
         calls.remove(call);
-        owed--;
+        owes(call, -1);
         tell(call, caller, answer);
     }
 
+    private void owes(CallRecord call, int change) {
+        owed[call.callClass()] += change;
+        owed[owed.length - 1] += change;
+    }
+
     private void tell(CallRecord call, Caller caller, FinalAnswer answer) {
         if (caller == null) {
             return;
@@ -244,7 +251,7 @@
         timers.cancel(call.swapAttemptTimer(null));
         timers.cancel(call.swapDeadlineTimer(null));
         call.stand();
-        owed--;
+        owes(call, -1);
         // The report rides with the answer, but the module hears it as news of the server.
         if (!report.equals(Report.NONE)) {
             module.probed(now, call.server(), false, true, 0, report);
@@ -453,7 +460,12 @@
 
     /** Calls whose callers are owed an answer, as counted; costs nothing. */
     public int owed() {
-        return owed;
+        return owed[owed.length - 1];
+    }
+
+    /** Those of one class. */
+    public int owed(int callClass) {
+        return owed[callClass];
     }
 
     /** Calls open now, standing ones included. */
--- a/src/main/java/damsonseam/front/DnsListener.java
+++ b/src/main/java/damsonseam/front/DnsListener.java
@@ -6,7 +6,9 @@
 import damsonseam.dns.EnumService;
 import damsonseam.dns.PlainQuestion;
 import damsonseam.overload.Admission;
+import damsonseam.overload.HeavySenders;
 import damsonseam.overload.Ranks;
+import io.netty.channel.Channel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
@@ -41,13 +43,19 @@
         this.router = router;
         Ranks ranks = settings.ranks();
         queue = new CallQueue(ranks.count(), settings.overload().queue());
-        load = new FrontLoad(queue, FrontSettings.BEAT);
+        load = new FrontLoad(queue, ranks.count(), FrontSettings.BEAT);
         intake = new Intake(loop, settings, suffix, plan, admission.get(), load, queue, this::drain);
         Admission forStreams = admission.get();
-        gate = (now, callClass, source) -> forStreams.decide(now, ranks.of(callClass), source.hashCode(), load);
+        gate = (now, callClass, source) -> forStreams.decide(now, ranks.of(callClass), sender(source), load);
         streams = new StreamListener(loop, service, router, gate, settings.limits().connections());
     }
 
+    /** Who asks, for a question that came from an address or over a connection. */
+    private static long sender(Object source) {
+        InetSocketAddress from = (InetSocketAddress) (source instanceof Channel c ? c.remoteAddress() : source);
+        return from == null ? 0 : HeavySenders.sender(from.getAddress().getAddress());
+    }
+
     /** Binds UDP and TCP to one port; with port 0 the system chooses one that is free for both. */
     void bind(InetSocketAddress at) throws IOException, InterruptedException {
         for (int i = 1;; i++) {
--- a/src/main/java/damsonseam/front/FrontLoad.java
+++ b/src/main/java/damsonseam/front/FrontLoad.java
@@ -20,11 +20,13 @@
     private final double beat;
     private volatile double perCall = FIRST_GUESS;
     private volatile double turnedAt;
-    private volatile double pressure = -1;
+    private volatile double[] pressure;
 
-    FrontLoad(CallQueue queue, double beat) {
+    FrontLoad(CallQueue queue, int ranks, double beat) {
         this.queue = queue;
         this.beat = beat;
+        pressure = new double[ranks];
+        java.util.Arrays.fill(pressure, -1);
     }
 
     /** The loop has taken a whole batch of calls in {@code ms}, with more still queued: what each cost. */
@@ -53,9 +55,9 @@
         turnedAt = now;
     }
 
-    /** Pressure of memory and tables, in ranks. */
-    void pressure(double ranks) {
-        pressure = ranks;
+    /** Pressure of memory, tables and held calls, in ranks, as calls of each rank meet it; not changed any more. */
+    void pressure(double[] ofRanks) {
+        pressure = ofRanks;
     }
 
     @Override
@@ -74,7 +76,7 @@
     }
 
     @Override
-    public double pressure() {
-        return pressure;
+    public double pressure(int rank) {
+        return pressure[rank];
     }
 }
--- a/src/main/java/damsonseam/front/FrontServer.java
+++ b/src/main/java/damsonseam/front/FrontServer.java
@@ -168,15 +168,21 @@
 
     /** Makes the front stand still for so long, as a fault for tests and scenarios. */
     public void stall(long millis) {
-        Runnable sleep = () -> {
-            try {
-                Thread.sleep(millis);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        };
-        loop.eventLoop().execute(sleep);
-        listener.intake().stall(sleep);
+        listener.intake().stall(() -> sleep(millis));
+        stallLoop(millis);
+    }
+
+    /** Makes the loop alone stand still; the socket is read on. */
+    void stallLoop(long millis) {
+        loop.eventLoop().execute(() -> sleep(millis));
+    }
+
+    private static void sleep(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     /** What the front says of its run so far. */
--- a/src/main/java/damsonseam/front/Intake.java
+++ b/src/main/java/damsonseam/front/Intake.java
@@ -9,6 +9,7 @@
 import damsonseam.dns.PlainQuestion;
 import damsonseam.dns.PlainReply;
 import damsonseam.overload.Admission;
+import damsonseam.overload.HeavySenders;
 import damsonseam.overload.LoopGauge;
 import damsonseam.overload.Ranks;
 import damsonseam.overload.Remembered;
@@ -30,7 +31,6 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
-import java.util.Arrays;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.jctools.queues.MpscArrayQueue;
@@ -224,8 +224,8 @@
             }
             return;
         }
-        long address = Arrays.hashCode(from.getAddress().getAddress());
-        long fingerprint = plain.fingerprint(address << 16 | from.getPort());
+        byte[] address = from.getAddress().getAddress();
+        long fingerprint = plain.fingerprint(HeavySenders.hash(address) + from.getPort());
         int rank = ranks.of(entry.callClass());
         CallQueue.Waiting waiting = new CallQueue.Waiting(from, plain, entry, octets, now, age.age(now));
         long known = remembered.find(fingerprint, now);
@@ -249,7 +249,7 @@
             refuse(ctx, waiting, TOO_OLD);
             return;
         }
-        long advice = admission.decide(now, rank, address, load);
+        long advice = admission.decide(now, rank, HeavySenders.sender(address), load);
         if (advice == Admission.TAKE) {
             if (hand(rank, waiting)) {
                 remembered.put(fingerprint, Remembered.TAKEN, now);
--- a/src/main/java/damsonseam/front/SelfWatch.java
+++ b/src/main/java/damsonseam/front/SelfWatch.java
@@ -11,6 +11,7 @@
 import damsonseam.overload.LoopGauge;
 import damsonseam.overload.MemoryWatch;
 import damsonseam.overload.OverloadSettings;
+import damsonseam.overload.Ranks;
 import damsonseam.overload.TablePressure;
 import java.util.EnumMap;
 import java.util.Map;
@@ -30,7 +31,7 @@
     private final String front;
     private final FrontSettings settings;
     private final OverloadSettings levels;
-    private final int ranks;
+    private final Ranks ranks;
     private final Router router;
     private final Resolver resolver;
     private final LookupCache cache;
@@ -63,9 +64,9 @@
         this.load = load;
         front = settings.front().name();
         levels = settings.levels();
-        ranks = settings.ranks().count();
+        ranks = settings.ranks();
         memory = new MemoryWatch(levels);
-        tables = new TablePressure(levels, ranks);
+        tables = new TablePressure(levels, ranks.count());
         held = new HeldRoom(settings.limits().calls());
     }
 
@@ -93,7 +94,7 @@
         takenAtLook = taken;
         cacheRoom = memory.cacheRoom(now);
         cache.room(cacheRoom);
-        tablePressure = Math.max(memory.pressure(ranks), tables.pressure(
+        tablePressure = Math.max(memory.pressure(ranks.count()), tables.pressure(
                 router.open() / (double) settings.limits().calls(),
                 resolver.out() / (double) settings.limits().lookups(), sample.files()));
         if (Double.isNaN(diagnoseAt)) {
@@ -132,7 +133,17 @@
     /** The module has taken so long for a moment, in milliseconds. */
     void moment(double now, double ms) {
         held.moment(now, ms, router.owed());
-        load.pressure(Math.max(tablePressure, held.pressure(router.owed(), ranks)));
+        // The module serves the dear first, so a call meets only the held ones of its own rank and above.
+        double[] pressure = new double[ranks.count()];
+        for (int c = 0; c < settings.classes().size(); c++) {
+            pressure[ranks.of(c)] += router.owed(c);
+        }
+        double from = 0;
+        for (int rank = ranks.count() - 1; rank >= 0; rank--) {
+            from += pressure[rank];
+            pressure[rank] = Math.max(tablePressure, held.pressure((int) from, ranks.count()));
+        }
+        load.pressure(pressure);
         longestMoment = Math.max(longestMoment, ms);
         momentInWindow = Math.max(momentInWindow, ms);
     }
--- a/src/main/java/damsonseam/overload/Admission.java
+++ b/src/main/java/damsonseam/overload/Admission.java
@@ -28,7 +28,10 @@
         /** How long the loop has not turned although calls are queued, in milliseconds. */
         double standing(double now);
 
-        /** Pressure of memory and tables, in ranks: 0 at the first onset, the number of ranks at the ceiling. */
-        double pressure();
+        /**
+         * Pressure of memory, tables and held calls as a call of this rank meets it, in ranks: 0 at the first onset,
+         * the number of ranks at the ceiling.
+         */
+        double pressure(int rank);
     }
 }
--- a/src/main/java/damsonseam/overload/Gate.java
+++ b/src/main/java/damsonseam/overload/Gate.java
@@ -70,7 +70,7 @@
         double wait = load.queuedFrom(rank) * load.perCall() + standing / Math.pow(PATIENCE, rank);
         double delay = Levels.pressure(wait, settings.delayOnset() / 2, settings.delayOnset(),
                 settings.delayCeiling(), ranks);
-        return Math.max(delay, load.pressure());
+        return Math.max(delay, load.pressure(rank));
     }
 
     /**
--- a/src/main/java/damsonseam/overload/HeavySenders.java
+++ b/src/main/java/damsonseam/overload/HeavySenders.java
@@ -16,6 +16,7 @@
     private static final double WINDOW = 500;
     private static final int HEAVIEST = 256;
     private static final int LG_K = 10;
+    private static final int NETWORK_OCTETS = 8;
     /** Questions before a window says anything: shares of a handful are chance. */
     private static final long FEWEST = 64;
 
@@ -46,6 +47,27 @@
         last = new Window();
     }
 
+    /**
+     * The sender that an address counts as: an IPv4 address, or the first 64 bits of an IPv6 one, as whoever has one
+     * address of such a network has them all.
+     */
+    public static long sender(byte[] address) {
+        return hash(address, Math.min(address.length, NETWORK_OCTETS));
+    }
+
+    /** A hash of a whole address, as FNV-1a mixes it. */
+    public static long hash(byte[] address) {
+        return hash(address, address.length);
+    }
+
+    private static long hash(byte[] octets, int length) {
+        long h = 0xcbf29ce484222325L;
+        for (int i = 0; i < length; i++) {
+            h = (h ^ octets[i] & 0xff) * 0x100000001b3L;
+        }
+        return h;
+    }
+
     /** A sender, by a hash of its address, asks. */
     public void asked(double at, long sender) {
         if (Double.isNaN(turnAt) || at >= turnAt) {
--- a/src/test/java/damsonseam/audit/AuditorTest.java
+++ b/src/test/java/damsonseam/audit/AuditorTest.java
@@ -116,6 +116,14 @@
         assertEquals(1, report.setUps());
     }
 
+    @Test
+    void tellsHowNearARunCame() {
+        standing();
+        AuditReport report = audit();
+        assertEquals(2_949, report.leastAnswerLeftMs(), 0.01);
+        assertTrue(report.leastGuardLeftMs() > 1e6, "no bad end, no guard");
+    }
+
     @Test
     void rule1NoAnswer() {
         ask(100, NUMBER);
--- /dev/null
+++ b/src/test/java/damsonseam/front/FrontOverloadTest.java
@@ -0,0 +1,181 @@
+package damsonseam.front;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import damsonseam.config.Endpoint;
+import damsonseam.config.FrontSettings;
+import damsonseam.config.Span;
+import damsonseam.dns.CallHints;
+import damsonseam.dns.DnsCodec;
+import damsonseam.dns.E164Name;
+import damsonseam.load.Load;
+import damsonseam.load.LoadPlan;
+import damsonseam.load.LoadResult;
+import damsonseam.load.Profile;
+import damsonseam.standin.CalculatorSettings;
+import damsonseam.standin.Scenario;
+import damsonseam.standin.Surroundings;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.xbill.DNS.DClass;
+import org.xbill.DNS.Message;
+import org.xbill.DNS.OPTRecord;
+import org.xbill.DNS.Rcode;
+import org.xbill.DNS.Record;
+import org.xbill.DNS.Section;
+import org.xbill.DNS.Type;
+
+/** A real front on loopback sockets that is asked for more than it can do. */
+class FrontOverloadTest {
+    private static final int MOST_CONNECTIONS = 3;
+    private Surroundings around;
+    private FrontServer front;
+
+    @BeforeEach
+    void start() throws Exception {
+        CalculatorSettings fast = new CalculatorSettings(2_000.0, null, null, null, null, 20_000, null, null, null,
+                null, null);
+        around = new Surroundings(new Scenario("test", null, 1L, 1, new Scenario.Calculators(3, fast), null,
+                new Scenario.Directory(Span.ms(0), null), null, null), null);
+        FrontSettings s = around.frontSettings(0, new Endpoint("127.0.0.1", 0));
+        front = FrontServer.start(new FrontSettings(s.front(), s.enumeration(), s.classes(), s.numbers(), s.upstream(),
+                s.directory(), s.trunks(), s.fleet(), new FrontSettings.Limits(null, null, null, null, MOST_CONNECTIONS,
+                null), s.overload()), false);
+        assertTrue(front.awaitReady(20_000));
+    }
+
+    @AfterEach
+    void stop() {
+        front.close();
+        around.close();
+    }
+
+    private static Message question(int id, String number) {
+        Message query = new Message(id);
+        query.addRecord(Record.newRecord(E164Name.of(number, E164Name.suffix(Surroundings.SUFFIX)), Type.NAPTR,
+                DClass.IN), Section.QUESTION);
+        query.addRecord(new OPTRecord(1232, 0, 0, 0, List.of(new CallHints(false, 2_100).option())),
+                Section.ADDITIONAL);
+        return query;
+    }
+
+    private static byte[] receive(DatagramSocket socket) throws Exception {
+        DatagramPacket packet = new DatagramPacket(new byte[4096], 4096);
+        socket.receive(packet);
+        return java.util.Arrays.copyOf(packet.getData(), packet.getLength());
+    }
+
+    private void send(DatagramSocket socket, byte[] octets) throws Exception {
+        socket.send(new DatagramPacket(octets, octets.length, front.enumAddress()));
+    }
+
+    /**
+     * The loop stands still while calls come: the cheap are refused at once, by the thread that still runs, the dear
+     * wait for it; what is asked again gets the very same answer, and each call has one.
+     */
+    @Test
+    void whileTheLoopStandsStillTheCheapAreToldAndTheDearWait() throws Exception {
+        try (DatagramSocket socket = new DatagramSocket()) {
+            socket.setSoTimeout(10_000);
+            // Room for all answers, as none is read before the last question is sent.
+            socket.setReceiveBufferSize(4 << 20);
+            front.stallLoop(400);
+            int each = 300;
+            Map<Integer, byte[]> questions = new HashMap<>();
+            for (int i = 0; i < 2 * each; i++) {
+                byte[] octets = question(i, String.format("5982%s00%07d", i % 2 == 0 ? "1" : "8", i)).toWire();
+                questions.put(i, octets);
+                send(socket, octets);
+                Thread.sleep(i % 30 == 0 ? 10 : 0);
+            }
+            Map<Integer, byte[]> answers = new HashMap<>();
+            int refusedCheap = 0;
+            int refusedDear = 0;
+            while (answers.size() < 2 * each) {
+                byte[] answer = receive(socket);
+                int id = DnsCodec.id(answer);
+                assertTrue(answers.put(id, answer) == null, "a second answer for " + id);
+                boolean refused = DnsCodec.decode(answer).getRcode() == Rcode.REFUSED;
+                refusedCheap += refused && id % 2 == 0 ? 1 : 0;
+                refusedDear += refused && id % 2 != 0 ? 1 : 0;
+            }
+            assertTrue(refusedCheap > each / 2, refusedCheap + " cheap refused");
+            assertTrue(refusedDear < refusedCheap / 2, refusedDear + " dear refused, " + refusedCheap + " cheap");
+            for (int id = 0; id < 2 * each; id += 37) {
+                send(socket, questions.get(id));
+                assertArrayEquals(answers.get(id), receive(socket), "asked again: " + id);
+            }
+        }
+    }
+
+    /** Ten times what the calculators carry, through front and calculators at once: each call has one answer. */
+    @Test
+    void aBurstLeavesNoCallWithoutAnAnswer() throws Exception {
+        List<LoadPlan.Kind> kinds = List.of(new LoadPlan.Kind("simulacion", "59821", 9, 1_500, 3_000, 1, 0.25),
+                new LoadPlan.Kind("tasacion-firma", "59828", 1, 1_200, 2_200, 8, 0.25));
+        LoadResult result = Load.run(new LoadPlan(List.of(front.enumAddress()), Surroundings.SUFFIX, kinds,
+                Profile.burst(200, 10, 1, 2), 3, 5, 1, 1, 500, 3));
+        assertTrue(result.offered(-1, 1, 2) > 1_000, "offered " + result.offered(-1, 1, 2));
+        assertEquals(0, result.count(-1, LoadResult.End.UNANSWERED, 0, 3));
+        FrontReport report = front.report();
+        assertEquals(result.offered(-1, 0, 3), report.stood() + report.refused() + report.failed()
+                + report.turnedAway()[0] + report.turnedAway()[1] + report.tooOld());
+        assertEquals(0, report.unanswered());
+    }
+
+    @Test
+    void idleConnectionsMakeWayForACallerWithAQuestion() throws Exception {
+        List<Socket> idle = new ArrayList<>();
+        for (int i = 0; i < MOST_CONNECTIONS; i++) {
+            idle.add(new Socket(front.enumAddress().getAddress(), front.enumAddress().getPort()));
+        }
+        // All of them are known to the front: the last one has asked and was answered.
+        assertEquals(Rcode.NOERROR, ask(idle.get(MOST_CONNECTIONS - 1), 1));
+        try (Socket one = new Socket(front.enumAddress().getAddress(), front.enumAddress().getPort())) {
+            assertEquals(Rcode.NOERROR, ask(one, 2));
+            idle.get(0).setSoTimeout(10_000);
+            assertEquals(-1, idle.get(0).getInputStream().read(), "the longest idle one was closed");
+            assertEquals(Rcode.NOERROR, ask(idle.get(MOST_CONNECTIONS - 1), 3), "the one that asked lately was not");
+        }
+        for (Socket s : idle) {
+            s.close();
+        }
+    }
+
+    private static int ask(Socket socket, int id) throws Exception {
+        byte[] octets = question(id, String.format("5982100%07d", id)).toWire();
+        DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+        out.writeShort(octets.length);
+        out.write(octets);
+        out.flush();
+        socket.setSoTimeout(10_000);
+        DataInputStream in = new DataInputStream(socket.getInputStream());
+        byte[] answer = new byte[in.readUnsignedShort()];
+        in.readFully(answer);
+        return DnsCodec.decode(answer).getRcode();
+    }
+
+    /** RFC 6891 6.1.1: more than one OPT record is a format error. */
+    @Test
+    void twoOptRecordsAreAFormatError() throws Exception {
+        Message query = question(9, "59821000000001");
+        query.addRecord(new OPTRecord(1232, 0, 0), Section.ADDITIONAL);
+        try (DatagramSocket socket = new DatagramSocket()) {
+            socket.setSoTimeout(10_000);
+            send(socket, query.toWire());
+            assertEquals(Rcode.FORMERR, DnsCodec.decode(receive(socket)).getRcode());
+        }
+    }
+}
--- a/src/test/java/damsonseam/overload/GateTest.java
+++ b/src/test/java/damsonseam/overload/GateTest.java
@@ -90,7 +90,7 @@
         }
 
         @Override
-        public double pressure() {
+        public double pressure(int rank) {
             return pressure;
         }
     }
@@ -233,6 +233,16 @@
         assertTrue(gate.surplus() > 0);
     }
 
+    @Test
+    void addressesThatSumAlikeAreTwoSendersAndOneNetworkIsOne() {
+        assertTrue(HeavySenders.sender(new byte[] {10, 0, 0, 32}) != HeavySenders.sender(new byte[] {10, 0, 1, 1}));
+        byte[] one = new byte[16];
+        byte[] other = new byte[16];
+        other[15] = 1;
+        assertEquals(HeavySenders.sender(one), HeavySenders.sender(other));
+        assertTrue(HeavySenders.hash(one) != HeavySenders.hash(other));
+    }
+
     @Test
     void adviceGrowsWithTheOverloadIsSpreadAndBounded() {
         SimLoop loop = new SimLoop(2, 0.05, gate(2));
