--- a/src/main/java/damsonseam/front/Intake.java
+++ b/src/main/java/damsonseam/front/Intake.java
@@ -30,6 +30,8 @@
 import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.DatagramChannel;
 import java.security.SecureRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -43,7 +45,7 @@
  * and what the system drops there it drops whatever it is worth. So the socket is always read, a question is refused
  * for a fraction of what a call costs, and the loop never sees what was refused.
  *
- * <p>Everything here but the three hand-overs (the queue, the answers, the wake-ups) belongs to this thread alone.
+ * <p>Everything here but the hand-over of questions and {@link #answer} belongs to this thread alone.
  */
 final class Intake {
     private static final Logger LOG = LoggerFactory.getLogger(Intake.class);
@@ -77,6 +79,7 @@
     private final LoopGauge gauge = new LoopGauge(FrontSettings.BEAT);
     private final Counts counts;
     private Channel socket;
+    private DatagramChannel direct;
     private InetSocketAddress self;
 
     /** Counts of this thread, for reports; read when it is at rest, or as good as. */
@@ -132,7 +135,8 @@
 
     /** Binds the socket; reading starts with {@link #start}. */
     InetSocketAddress bind(InetSocketAddress at) throws IOException, InterruptedException {
-        Bootstrap bootstrap = new Bootstrap().group(thread).channel(NioDatagramChannel.class)
+        DatagramChannel opened = DatagramChannel.open();
+        Bootstrap bootstrap = new Bootstrap().group(thread).channelFactory(() -> new NioDatagramChannel(opened))
                 .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER).option(ChannelOption.SO_SNDBUF, SEND_BUFFER)
                 .option(ChannelOption.RECVBUF_ALLOCATOR,
                         new FixedRecvByteBufAllocator(UDP_OCTETS).maxMessagesPerRead(READ_AT_ONCE))
@@ -142,6 +146,7 @@
             throw new BindException("DNS over UDP on " + at + ": " + bound.cause().getMessage());
         }
         socket = bound.channel();
+        direct = opened;
         InetSocketAddress chosen = (InetSocketAddress) socket.localAddress();
         self = chosen.getAddress().isAnyLocalAddress()
                 ? new InetSocketAddress(InetAddress.getLoopbackAddress(), chosen.getPort()) : chosen;
@@ -167,8 +172,21 @@
         return (InetSocketAddress) socket.localAddress();
     }
 
-    /** An answer of the loop; it goes out with {@link #flush}. */
+    /**
+     * An answer of the loop. It is sent by the loop itself, as a datagram socket may be written by one thread while
+     * another reads it. Guards against a stop between the decision that a call stands and its answer: nothing is
+     * handed over in between. Where the system has no room at the moment it goes out with {@link #flush}.
+     */
     void answer(InetSocketAddress to, byte[] octets) {
+        try {
+            if (direct.send(ByteBuffer.wrap(octets), to) > 0) {
+                return;
+            }
+        } catch (IOException e) {
+            // Nobody can be reached there, or the front is closing: the answer is lost, as datagrams may be.
+            LOG.atInfo().addKeyValue("to", to.toString()).addKeyValue("error", e.toString()).log("answer not sent");
+            return;
+        }
         DatagramPacket packet = new DatagramPacket(Unpooled.wrappedBuffer(octets), to);
         if (!answers.offer(packet)) {
             thread.execute(() -> socket.writeAndFlush(packet));
