Directory stand-in: its thread goes when its streams have ended

Need: closed with streams open it threw RejectedExecutionException once a connection. Change: it waits for its server's end before its thread goes.

--- a/src/main/java/damsonseam/standin/DirectoryServer.java
+++ b/src/main/java/damsonseam/standin/DirectoryServer.java
@@ -159,7 +159,13 @@
 
     @Override
     public void close() {
+        // The ends of its streams are told to the thread: it goes when there are none left.
         server.shutdownNow();
+        try {
+            server.awaitTermination(2, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
         thread.shutdownNow();
     }
 
