StreamListener: counts that nobody read go

Need: three counts were kept and read by no report. Change: they are gone; no behaviour changed. Measured: build and style green, FrontOverloadTest and FrontServerTest pass.

--- a/src/main/java/damsonseam/front/StreamListener.java
+++ b/src/main/java/damsonseam/front/StreamListener.java
@@ -56,9 +56,6 @@
     /** Connections without an open question, the longest idle first. */
     private final Set<Channel> idle = new LinkedHashSet<>();
     private Channel server;
-    private long madeWay;
-    private long turnedAway;
-    private long slow;
 
     StreamListener(Loop loop, EnumService service, Router router, EnumService.Gate gate, int most) {
         this.loop = loop;
@@ -95,11 +92,6 @@
         server.close();
     }
 
-    /** Idle connections that made way, new ones that were closed, and readers that were too slow. */
-    long[] counts() {
-        return new long[] {madeWay, turnedAway, slow};
-    }
-
     /** Room for one more: true if there is, or if an idle one made it. */
     private boolean room() {
         if (all.size() < most) {
@@ -107,14 +99,12 @@
         }
         Iterator<Channel> longest = idle.iterator();
         if (!longest.hasNext()) {
-            turnedAway++;
             return false;
         }
         Channel goes = longest.next();
         longest.remove();
         all.remove(goes);
         goes.close();
-        madeWay++;
         return true;
     }
 
@@ -168,7 +158,6 @@
                 ctx.executor().schedule(() -> {
                     if (ctx.channel().isActive() && !ctx.channel().isWritable()
                             && ctx.channel().bytesBeforeWritable() >= had) {
-                        slow++;
                         ctx.close();
                     }
                 }, SLOW_MS, TimeUnit.MILLISECONDS);
