--- a/src/main/java/damsonseam/adapter/Wire.java
+++ b/src/main/java/damsonseam/adapter/Wire.java
@@ -9,6 +9,8 @@
 import damsonseam.Front.Result;
 import damsonseam.Front.ServerEntry;
 import damsonseam.Front.State;
+import damsonseam.settings.ReportFields;
+import damsonseam.settings.StartSettings;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.Writer;
@@ -28,7 +30,7 @@
     private static final int NOTE_BITS = 16;
     private static final int NOTE_BEYOND_FULL = 18;
 
-    private record Instance(Front front, List<String> reportFields) { }
+    private record Instance(Front front, ReportFields reportFields) { }
 
     private final BufferedReader in;
     private final Writer out;
@@ -145,9 +147,9 @@
     private void boot(Line line) {
         int number = line.small("the instance");
         long seed = line.whole("the seed");
-        StartSettings start = StartSettings.parse(line, line.rest());
+        StartSettings start = StartSettings.pairs(line.rest(), line::wrong);
         Front front = new Decide(start.settings(seed), new Reply(reply, number));
-        instances.put(number, new Instance(front, start.reportFields()));
+        instances.put(number, new Instance(front, new ReportFields(start.reportFields(), ',')));
     }
 
     private Instance instance(Line line) {
@@ -277,28 +279,7 @@
     }
 
     private static Report report(Instance instance, Line line) {
-        String text = line.rest();
-        if (text.isEmpty() || text.equals("-")) {
-            return Report.NONE;
-        }
-        Map<String, OptionalDouble> values = new HashMap<>();
-        for (String pair : text.split(",")) {
-            int colon = pair.indexOf(':');
-            if (colon <= 0) {
-                throw line.wrong("a load report as name:value pairs");
-            }
-            String name = pair.substring(0, colon);
-            if (instance.reportFields().contains(name) && !pair.endsWith(":-")) {
-                double value = line.decimal(pair.substring(colon + 1), name);
-                values.put(name, value < 0 ? OptionalDouble.empty() : OptionalDouble.of(value));
-            }
-        }
-        return new Report(value(values, "spare"), value(values, "total"), value(values, "svc_ms"),
-                value(values, "cpu_share"), value(values, "pending"));
-    }
-
-    private static OptionalDouble value(Map<String, OptionalDouble> values, String name) {
-        return values.getOrDefault(name, OptionalDouble.empty());
+        return instance.reportFields().read(line.rest(), line::wrong);
     }
 
     private static byte[] bytes(Line line) {
--- a/src/main/java/damsonseam/bench/MemoryBench.java
+++ b/src/main/java/damsonseam/bench/MemoryBench.java
@@ -134,7 +134,7 @@
         }
 
         @Override
-        public Ports.NotSent setUp(double now, String server, long call, int attempt, CallRecord record) {
+        public Ports.NotSent setUp(double now, String server, long call, int attempt, double until, CallRecord record) {
             return groups.get(server).setUp(call, attempt, record.number(), 10) ? null
                     : new Ports.NotSent(Result.FULL, Reason.NO_LINE);
         }
--- a/src/main/java/damsonseam/cli/Commands.java
+++ b/src/main/java/damsonseam/cli/Commands.java
@@ -18,7 +18,7 @@
         footer = {"", "Exit codes: 0 fine, 1 failed or a rule broken, 2 wrong usage or bad settings."},
         subcommands = {FrontCommand.class, StandinCommand.class, DemoCommand.class, LookupCommand.class,
             BadDayCommand.class, AuditCommand.class, LoadCommand.class, BenchCommand.class,
-            AdapterCommand.class, CommandLine.HelpCommand.class})
+            AdapterCommand.class, NodeCommand.class, CommandLine.HelpCommand.class})
 public final class Commands implements Runnable {
     /** All went well. */
     static final int FINE = 0;
--- /dev/null
+++ b/src/main/java/damsonseam/cli/NodeCommand.java
@@ -0,0 +1,63 @@
+package damsonseam.cli;
+
+import ch.qos.logback.classic.Level;
+import damsonseam.config.SettingsException;
+import damsonseam.node.NodeConfig;
+import damsonseam.node.NodeServer;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import java.util.concurrent.atomic.AtomicReference;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import picocli.CommandLine.Command;
+import sun.misc.Signal;
+
+/** Stands in the help; {@link Main} runs the node without the command line's library, which costs its start. */
+@Command(name = "node", mixinStandardHelpOptions = true, description = {"Runs one front node of the platform.",
+    "Reads the JSON file that NODE_CONFIG names. SIGHUP reads it again; SIGTERM finishes what is open and ends."})
+final class NodeCommand implements Callable<Integer> {
+
+    @Override
+    public Integer call() throws Exception {
+        return run(System.getenv("NODE_CONFIG"));
+    }
+
+    /** Runs a node until SIGTERM; returns the exit code. */
+    static int run(String file) throws Exception {
+        if (file == null || file.isEmpty()) {
+            System.err.println("damsonseam: NODE_CONFIG names no file");
+            return Commands.USAGE;
+        }
+        AtomicReference<NodeServer> running = new AtomicReference<>();
+        Path config = Path.of(file);
+        // First of all: a signal that comes during the start must not end the process.
+        Signal.handle(new Signal("HUP"), s -> reload(config, running.get()));
+        Logging.configure(null, Level.INFO);
+        try {
+            NodeServer node = NodeServer.start(NodeConfig.read(config));
+            running.set(node);
+            Until.signalOr(0, node::drain);
+        } catch (SettingsException e) {
+            System.err.println("damsonseam: " + e.getMessage());
+            return Commands.USAGE;
+        } catch (IOException e) {
+            System.err.println("damsonseam: " + e.getMessage());
+            return Commands.FAILED;
+        }
+        return Commands.FINE;
+    }
+
+    /** A file that can't be used leaves what was read before in force. */
+    private static void reload(Path config, NodeServer node) {
+        Logger log = LoggerFactory.getLogger(NodeCommand.class);
+        try {
+            NodeConfig news = NodeConfig.read(config);
+            if (node != null) {
+                node.reload(news);
+            }
+        } catch (SettingsException e) {
+            log.atError().addKeyValue("why", e.getMessage()).log("the new configuration can't be used, the old stays");
+        }
+    }
+}
--- a/src/main/java/damsonseam/core/Pool.java
+++ b/src/main/java/damsonseam/core/Pool.java
@@ -28,7 +28,7 @@
      * @param id its name
      * @param number what a first choice refers to
      * @param address host and port of its signalling
-     * @param pointCode its signalling point code
+     * @param pointCode its signalling point code, 0 where the signalling knows none
      * @param state whether it takes work
      * @param startedAt when its processor started, on the front's clock, empty if long ago
      */
--- a/src/main/java/damsonseam/core/Ports.java
+++ b/src/main/java/damsonseam/core/Ports.java
@@ -23,9 +23,10 @@
         /**
          * Takes a circuit and sends a set-up.
          *
+         * @param until when the attempt will be given up
          * @return null if it went out, else why it did not: it is then proved that it never ran
          */
-        NotSent setUp(double now, String server, long call, int attempt, CallRecord record);
+        NotSent setUp(double now, String server, long call, int attempt, double until, CallRecord record);
 
         /**
          * Releases what an attempt holds; {@link Router#released} follows once the far side has proved that it
--- a/src/main/java/damsonseam/core/Router.java
+++ b/src/main/java/damsonseam/core/Router.java
@@ -112,10 +112,16 @@
         return unsettled;
     }
 
-    private void clock(double at) {
+    /** The router's clock moves on to {@code at}; it never runs backwards. */
+    public void clock(double at) {
         now = Math.max(now, at);
     }
 
+    /** The time of the moment that is being handed over. */
+    public double now() {
+        return now;
+    }
+
     private void heard() {
         unsettled = true;
     }
@@ -123,14 +129,37 @@
     // ---- Callers ----------------------------------------------------------------------------------------
 
     /**
-     * A call comes in.
+     * A call comes in whose number has to be looked up.
      *
      * @param timeLeft until its caller gives up, by the settings or the caller's own word, in milliseconds
      * @param age how long it may have waited unread; it is taken off the time left
-     * @return the call, or null if it was refused at once (its caller has been told)
+     * @return the call, or null if it was answered at once (its caller has been told)
      */
     public CallRecord offered(double at, String number, int callClass, double timeLeft, double age,
             boolean redialled, Caller caller) {
+        CallRecord call = take(at, number, callClass, timeLeft, age, redialled, caller);
+        if (call != null) {
+            lookups.lookUp(call.id(), number, call.deadline() - settings.lastMoment());
+        }
+        return call;
+    }
+
+    /**
+     * A call comes in that says itself where it may go; else as {@link #offered}.
+     *
+     * @param firstChoice number of its first choice, -1 for none
+     */
+    public CallRecord routed(double at, String number, int callClass, int firstChoice, double timeLeft, double age,
+            boolean redialled, Caller caller) {
+        CallRecord call = take(at, number, callClass, timeLeft, age, redialled, caller);
+        if (call != null) {
+            offer(call, firstChoice, List.of());
+        }
+        return call;
+    }
+
+    private CallRecord take(double at, String number, int callClass, double timeLeft, double age,
+            boolean redialled, Caller caller) {
         clock(at);
         double deadline = now + timeLeft - age;
         CallRecord call = new CallRecord(calls.nextId(), number, callClass, redialled, now, deadline, caller);
@@ -149,10 +178,16 @@
             return null;
         }
         call.swapDeadlineTimer(timers.set(deadline - settings.lastMoment(), t -> lastMoment(call, t)));
-        lookups.lookUp(call.id(), number, deadline - settings.lastMoment());
         return call;
     }
 
+    private void offer(CallRecord call, int firstChoice, List<Integer> numbers) {
+        call.found();
+        module.offered(now, new Call(call.id(), call.number(), call.callClass(), firstChoice,
+                call.deadline() - now, call.redialled(), false, numbers));
+        heard();
+    }
+
     /** Guards the one answer of each call against a module or a look-up that says nothing. */
     private void lastMoment(CallRecord call, double at) {
         clock(at);
@@ -197,10 +232,7 @@
                 story.step(now, call, "looked-up", String.join(" ", candidates.servers()));
                 List<Integer> numbers = new ArrayList<>(candidates.servers().size());
                 candidates.servers().forEach(name -> numbers.add(pool.number(name)));
-                call.found();
-                module.offered(now, new Call(id, call.number(), call.callClass(), numbers.get(0),
-                        call.deadline() - now, call.redialled(), false, numbers));
-                heard();
+                offer(call, numbers.get(0), numbers);
             }
         }
     }
@@ -360,7 +392,9 @@
             return;
         }
         int attempt = call.send(server, now);
-        NotSent notSent = trunks.setUp(now, server, id, attempt, call);
+        double latest = call.deadline() - settings.lastMoment();
+        double until = abandonAt > 0 ? Math.min(abandonAt, latest) : latest;
+        NotSent notSent = trunks.setUp(now, server, id, attempt, until, call);
         if (notSent != null) {
             counters.notSent++;
             echoes.add(() -> ended(now, id, attempt, notSent.result(), notSent.reason(),
@@ -369,8 +403,6 @@
         }
         counters.setUps++;
         story.step(now, call, "set-up", server);
-        double latest = call.deadline() - settings.lastMoment();
-        double until = abandonAt > 0 ? Math.min(abandonAt, latest) : latest;
         call.swapAttemptTimer(timers.set(until, at -> {
             clock(at);
             if (call.out() && call.releasing() == null && call.isAttempt(attempt)) {
--- a/src/main/java/damsonseam/front/DirectoryClient.java
+++ b/src/main/java/damsonseam/front/DirectoryClient.java
@@ -8,6 +8,7 @@
 import damsonseam.directory.wire.FollowRequest;
 import damsonseam.directory.wire.PoolDirectoryGrpc;
 import damsonseam.directory.wire.Update;
+import damsonseam.loop.Loop;
 import io.grpc.Context;
 import io.grpc.ManagedChannel;
 import io.grpc.netty.shaded.io.grpc.netty.NettyChannelBuilder;
--- a/src/main/java/damsonseam/front/DnsListener.java
+++ b/src/main/java/damsonseam/front/DnsListener.java
@@ -5,6 +5,7 @@
 import damsonseam.core.Router;
 import damsonseam.dns.EnumService;
 import damsonseam.dns.PlainQuestion;
+import damsonseam.loop.Loop;
 import damsonseam.overload.Admission;
 import damsonseam.overload.HeavySenders;
 import damsonseam.overload.Ranks;
--- a/src/main/java/damsonseam/front/FrontServer.java
+++ b/src/main/java/damsonseam/front/FrontServer.java
@@ -17,6 +17,7 @@
 import damsonseam.dns.PlainQuestion;
 import damsonseam.dns.Resolver;
 import damsonseam.dns.Transactions;
+import damsonseam.loop.Loop;
 import damsonseam.overload.Admission;
 import damsonseam.overload.Gate;
 import damsonseam.overload.LoopGauge;
@@ -74,7 +75,7 @@
         this.settings = settings;
         group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         EventLoop eventLoop = (EventLoop) group.next();
-        loop = new Loop(eventLoop);
+        loop = new Loop(eventLoop, FrontSettings.BEAT);
         trunks = new TrunkLinks(loop, settings);
         directory = new DirectoryClient(loop, settings.front().name(), settings.directory().address().socket());
         List<InetSocketAddress> authorities = settings.upstream().authorities().stream().map(Endpoint::socket)
--- a/src/main/java/damsonseam/front/Intake.java
+++ b/src/main/java/damsonseam/front/Intake.java
@@ -8,6 +8,7 @@
 import damsonseam.dns.EnumService;
 import damsonseam.dns.PlainQuestion;
 import damsonseam.dns.PlainReply;
+import damsonseam.loop.Loop;
 import damsonseam.overload.Admission;
 import damsonseam.overload.HeavySenders;
 import damsonseam.overload.LoopGauge;
--- a/src/main/java/damsonseam/front/ResolverSockets.java
+++ b/src/main/java/damsonseam/front/ResolverSockets.java
@@ -3,6 +3,7 @@
 import damsonseam.core.Candidates;
 import damsonseam.core.Router;
 import damsonseam.dns.Resolver;
+import damsonseam.loop.Loop;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
--- a/src/main/java/damsonseam/front/StreamListener.java
+++ b/src/main/java/damsonseam/front/StreamListener.java
@@ -3,6 +3,7 @@
 import damsonseam.core.CallRecord;
 import damsonseam.core.Router;
 import damsonseam.dns.EnumService;
+import damsonseam.loop.Loop;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
--- a/src/main/java/damsonseam/front/TrunkLink.java
+++ b/src/main/java/damsonseam/front/TrunkLink.java
@@ -7,6 +7,7 @@
 import damsonseam.core.Circuits;
 import damsonseam.core.Pool;
 import damsonseam.core.Router;
+import damsonseam.loop.Loop;
 import damsonseam.ss7.AspSession;
 import damsonseam.ss7.Isup;
 import damsonseam.ss7.M3ua;
--- a/src/main/java/damsonseam/front/TrunkLinks.java
+++ b/src/main/java/damsonseam/front/TrunkLinks.java
@@ -9,6 +9,7 @@
 import damsonseam.core.Pool;
 import damsonseam.core.Ports;
 import damsonseam.core.Router;
+import damsonseam.loop.Loop;
 import damsonseam.ss7.Isup;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -57,7 +58,7 @@
     }
 
     @Override
-    public Ports.NotSent setUp(double now, String server, long call, int attempt, CallRecord record) {
+    public Ports.NotSent setUp(double now, String server, long call, int attempt, double until, CallRecord record) {
         TrunkLink link = links.get(server);
         if (link == null || !link.usable()) {
             return UNREACHABLE;
--- a/src/main/java/damsonseam/front/Loop.java
+++ b/src/main/java/damsonseam/loop/Loop.java
@@ -1,6 +1,5 @@
-package damsonseam.front;
+package damsonseam.loop;
 
-import damsonseam.config.FrontSettings;
 import damsonseam.core.Timers;
 import io.netty.channel.EventLoop;
 import java.util.concurrent.ScheduledFuture;
@@ -10,43 +9,52 @@
  * The turn of the one event loop: all that came at once is handed to the core first, and the module acts when
  * the loop has read what there was. {@link #kick} asks for that once a turn, however many events came.
  */
-final class Loop {
+public final class Loop {
     private final EventLoop eventLoop;
+    private final double beat;
     private final long origin = System.nanoTime();
     private final Timers timers = new Timers(0);
     private Runnable settle = () -> { };
     private boolean asked;
     private ScheduledFuture<?> beats;
 
-    Loop(EventLoop eventLoop) {
+    /**
+     * A loop that has not started.
+     *
+     * @param beat time between two beats, in milliseconds
+     */
+    public Loop(EventLoop eventLoop, double beat) {
         this.eventLoop = eventLoop;
+        this.beat = beat;
     }
 
     /** Starts the beat; {@code settle} lets the core act. */
-    void start(Runnable beat, Runnable settle) {
+    public void start(Runnable onBeat, Runnable settle) {
         this.settle = settle;
-        long every = (long) (FrontSettings.BEAT * 1_000_000);
+        long every = (long) (beat * 1_000_000);
         beats = eventLoop.scheduleWithFixedDelay(() -> {
-            beat.run();
+            onBeat.run();
             kick();
         }, every, every, TimeUnit.NANOSECONDS);
     }
 
     /** The front's clock in milliseconds. */
-    double now() {
+    public double now() {
         return (System.nanoTime() - origin) / 1e6;
     }
 
-    Timers timers() {
+    /** The timers that the beat fires. */
+    public Timers timers() {
         return timers;
     }
 
-    EventLoop eventLoop() {
+    /** The event loop beneath. */
+    public EventLoop eventLoop() {
         return eventLoop;
     }
 
     /** Something was handed to the core: it acts when this turn has read all there is. */
-    void kick() {
+    public void kick() {
         if (!asked) {
             asked = true;
             eventLoop.execute(() -> {
@@ -56,7 +64,8 @@
         }
     }
 
-    void stop() {
+    /** Ends the beat. */
+    public void stop() {
         if (beats != null) {
             beats.cancel(false);
         }
--- /dev/null
+++ b/src/main/java/damsonseam/node/CallerListener.java
@@ -0,0 +1,170 @@
+package damsonseam.node;
+
+import damsonseam.core.Router;
+import damsonseam.loop.Loop;
+import damsonseam.sip.SipDecoder;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+
+/**
+ * Where callers connect. Connections are bounded: beyond the limit one without an open call gives way, silent
+ * ones first, and if there is none the new one is closed.
+ */
+final class CallerListener {
+    /** Octets waiting to be sent beyond which a caller is taken not to read, and is closed. */
+    static final int MOST_UNSENT = 256 << 10;
+    private static final int BACKLOG = 512;
+    private static final double SWEEP_MS = 250;
+
+    private final Loop loop;
+    private final CallSettings settings;
+    private final CallBook book;
+    private final ServerLinks servers;
+    private final int mostConnections;
+    private final BooleanSupplier ready;
+    /** In the order in which they were last heard of. */
+    private final Set<CallerLink> links = new LinkedHashSet<>();
+    private Router router;
+    private Channel channel;
+    private long turnedAway;
+
+    CallerListener(Loop loop, CallSettings settings, CallBook book, ServerLinks servers, int mostConnections,
+            BooleanSupplier ready) {
+        this.loop = loop;
+        this.settings = settings;
+        this.book = book;
+        this.servers = servers;
+        this.mostConnections = mostConnections;
+        this.ready = ready;
+    }
+
+    void start(Router router) {
+        this.router = router;
+        loop.timers().set(loop.now() + SWEEP_MS, this::sweep);
+    }
+
+    /** Opens the port. */
+    void bind(InetSocketAddress address) throws IOException {
+        ChannelFuture bound = new ServerBootstrap().group(loop.eventLoop()).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true).childOption(ChannelOption.ALLOCATOR, NodeServer.BUFFERS)
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK,
+                        new WriteBufferWaterMark(MOST_UNSENT / 2, MOST_UNSENT))
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel made) {
+                        SipDecoder decoder = new SipDecoder();
+                        made.pipeline().addLast(decoder, new CallerLink(CallerListener.this, made, decoder));
+                    }
+                }).bind(address).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new IOException("cannot listen on " + address + ": " + bound.cause().getMessage(), bound.cause());
+        }
+        channel = bound.channel();
+    }
+
+    InetSocketAddress address() {
+        return (InetSocketAddress) channel.localAddress();
+    }
+
+    /** A connection was accepted; false if there is no room for it. */
+    boolean connected(CallerLink link) {
+        if (links.size() >= mostConnections) {
+            CallerLink idle = links.stream().filter(l -> !l.spoke()).findFirst().orElseGet(
+                    () -> links.stream().filter(CallerLink::idle).findFirst().orElse(null));
+            turnedAway++;
+            if (idle == null) {
+                return false;
+            }
+            links.remove(idle);
+            idle.close();
+        }
+        links.add(link);
+        return true;
+    }
+
+    void closed(CallerLink link) {
+        links.remove(link);
+    }
+
+    /** Another connection of the same caller's host, the one heard of last, or null. */
+    CallerLink another(CallerLink of) {
+        CallerLink found = null;
+        for (CallerLink link : links) {
+            if (link.spoke() && link.usable() && link.sameHost(of)) {
+                found = link;
+            }
+        }
+        return found;
+    }
+
+    void heard(CallerLink link) {
+        if (links.remove(link)) {
+            links.add(link);
+        }
+    }
+
+    private void sweep(double now) {
+        List<CallerLink> over = new ArrayList<>();
+        links.forEach(link -> {
+            if (link.overdue(now)) {
+                over.add(link);
+            }
+        });
+        over.forEach(CallerLink::close);
+        loop.timers().set(now + SWEEP_MS, this::sweep);
+    }
+
+    boolean ready() {
+        return ready.getAsBoolean();
+    }
+
+    Loop loop() {
+        return loop;
+    }
+
+    CallSettings settings() {
+        return settings;
+    }
+
+    CallBook book() {
+        return book;
+    }
+
+    ServerLinks servers() {
+        return servers;
+    }
+
+    Router router() {
+        return router;
+    }
+
+    int connections() {
+        return links.size();
+    }
+
+    /** Closes the port; connections stay. */
+    void stopAccepting() {
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    void close() {
+        stopAccepting();
+        List.copyOf(links).forEach(CallerLink::close);
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonseam/node/ListEvent.java
@@ -0,0 +1,38 @@
+package damsonseam.node;
+
+import damsonseam.Front.State;
+import damsonseam.core.Pool;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalDouble;
+
+/**
+ * One numbered change of the list of signalling servers.
+ *
+ * @param number counts from 1 in each run of a node
+ * @param full whether it holds the whole list
+ * @param entries the servers of the list, or those that changed
+ */
+record ListEvent(long number, boolean full, List<Entry> entries) {
+
+    /**
+     * One server.
+     *
+     * @param id its name
+     * @param address host and port where it listens
+     * @param cell what the destination of a call refers to
+     * @param state whether it takes work
+     * @param upSince Unix millisecond of a late start, else 0
+     */
+    record Entry(String id, String address, int cell, State state, long upSince) { }
+
+    /** The entries on the node's own clock, which reads {@code now} at the Unix millisecond {@code unix}. */
+    List<Pool.Server> servers(double now, long unix) {
+        List<Pool.Server> servers = new ArrayList<>(entries.size());
+        for (Entry e : entries) {
+            servers.add(new Pool.Server(e.id, e.cell, e.address, 0, e.state,
+                    e.upSince > 0 ? OptionalDouble.of(now - (unix - e.upSince)) : OptionalDouble.empty()));
+        }
+        return servers;
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonseam/node/NodeCall.java
@@ -0,0 +1,54 @@
+package damsonseam.node;
+
+import damsonseam.core.CallRecord;
+import damsonseam.core.FinalAnswer;
+import damsonseam.core.Ports;
+
+/**
+ * What the protocol keeps of one call beside the core's record: what is passed on unchanged, and who is owed
+ * what. A call that stood before this node's start has no record, as the module never had it.
+ */
+final class NodeCall implements Ports.Caller {
+    /** The id that the caller gave. */
+    final String id;
+    /** The address of the set-up's first line. */
+    final String target;
+    /** The class by its name. */
+    final String className;
+    /** X-Legs as it came, or null. */
+    final String legs;
+    /** CSeq of the set-up, which its answers repeat. */
+    final String cseq;
+    /** The caller's description; let go once the call stands. */
+    byte[] offer;
+    /** The signalling server's description, from its answer until it has been passed on. */
+    byte[] answer;
+    /** Content-Type of that answer, or null. */
+    String answerType;
+    /** The connection that named the call last. */
+    CallerLink caller;
+    /** The core's record, null for a call that is not the core's. */
+    CallRecord record;
+    /** The server at which it stands, else null. */
+    ServerLink standsAt;
+    /** When it began to stand, on the node's clock. */
+    double stoodAt;
+    private final CallBook book;
+
+    NodeCall(CallBook book, String id, String target, String className, String legs, String cseq, byte[] offer,
+            CallerLink caller) {
+        this.book = book;
+        this.id = id;
+        this.target = target;
+        this.className = className;
+        this.legs = legs;
+        this.cseq = cseq;
+        this.offer = offer;
+        this.caller = caller;
+    }
+
+    @Override
+    public void answered(double now, CallRecord call, FinalAnswer said) {
+        book.answered(now, this, call, said);
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonseam/node/NodeConfig.java
@@ -0,0 +1,108 @@
+package damsonseam.node;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import damsonseam.Front.State;
+import damsonseam.config.Endpoint;
+import damsonseam.config.SettingsException;
+import damsonseam.settings.StartSettings;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What a front node is told at its start and again at SIGHUP, read from the JSON file that {@code NODE_CONFIG}
+ * names. Keys that are not known are skipped.
+ *
+ * @param name the node's name, the same after a restart
+ * @param listen where callers connect
+ * @param seed for random numbers, new with each start
+ * @param sockets file descriptors that the process may hold
+ * @param memoryMb memory beyond which the platform kills the process, in MB
+ * @param coordinator where the changes of the list come from
+ * @param known the changes so far, by rising numbers
+ * @param settings what the simulator tells an instance at its start
+ */
+public record NodeConfig(String name, Endpoint listen, long seed, int sockets, int memoryMb, Endpoint coordinator,
+        List<ListEvent> known, StartSettings settings) {
+    /** Octets of the file at the most: it is read whole. */
+    private static final int MOST = 4 << 20;
+    private static final int HEX = 16;
+    private static final int LEAST_SOCKETS = 64;
+
+    /** Reads the file; a fault is told in one line that names the file and the key. */
+    public static NodeConfig read(Path file) throws SettingsException {
+        try {
+            if (Files.size(file) > MOST) {
+                throw new SettingsException(file + ": more than " + MOST + " octets");
+            }
+            return of(new ObjectMapper().readTree(Files.readAllBytes(file)));
+        } catch (IOException | IllegalArgumentException e) {
+            throw new SettingsException(file + ": " + String.valueOf(e.getMessage()).lines().findFirst().orElse(""));
+        }
+    }
+
+    static NodeConfig of(JsonNode root) {
+        JsonNode limits = root.path("limits");
+        Map<String, String> paths = new HashMap<>();
+        flatten("", need(root, "settings"), paths);
+        return new NodeConfig(root.path("name").asText("node"), Endpoint.of(need(root, "listen").asText()),
+                Long.parseUnsignedLong(need(root, "seed").asText(), HEX),
+                Math.max(LEAST_SOCKETS, limits.path("sockets").asInt(LEAST_SOCKETS)),
+                limits.path("memory_mb").asInt(0), Endpoint.of(need(root, "coordinator").asText()),
+                events(root.path("known").path("updates")),
+                new StartSettings(paths, expected -> new IllegalArgumentException("settings: expected " + expected)));
+    }
+
+    private static JsonNode need(JsonNode root, String key) {
+        JsonNode value = root.path(key);
+        if (value.isMissingNode() || value.isNull()) {
+            throw new IllegalArgumentException("the key '" + key + "' is missing");
+        }
+        return value;
+    }
+
+    /** The paths that the wire writes for the same settings: plain lists joined, lists of others by place. */
+    private static void flatten(String path, JsonNode node, Map<String, String> paths) {
+        if (node.isObject()) {
+            node.fields().forEachRemaining(e -> flatten(path.isEmpty() ? e.getKey() : path + "." + e.getKey(),
+                    e.getValue(), paths));
+        } else if (node.isArray() && node.size() > 0 && node.get(0).isContainerNode()) {
+            paths.put(path + ".count", Integer.toString(node.size()));
+            for (int i = 0; i < node.size(); i++) {
+                flatten(path + "." + i, node.get(i), paths);
+            }
+        } else if (node.isArray()) {
+            List<String> values = new ArrayList<>();
+            node.forEach(v -> values.add(v.asText()));
+            paths.put(path, String.join(",", values));
+        } else if (!node.isNull()) {
+            paths.put(path, node.asText());
+        }
+    }
+
+    private static List<ListEvent> events(JsonNode updates) {
+        List<ListEvent> events = new ArrayList<>();
+        for (JsonNode update : updates) {
+            JsonNode list = need(update, "endpoints");
+            List<ListEvent.Entry> entries = new ArrayList<>();
+            for (JsonNode m : list.path("members")) {
+                State state = switch (need(m, "phase").asText()) {
+                    case "ready" -> State.RUNNING;
+                    case "draining" -> State.DRAINING;
+                    case "gone" -> State.GONE;
+                    default -> throw new IllegalArgumentException("a member's phase is ready, draining or gone, not "
+                            + m.path("phase").asText());
+                };
+                entries.add(new ListEvent.Entry(need(m, "id").asText(), m.path("host_port").asText(""),
+                        m.path("cell").asInt(-1), state, m.path("up_since_ms").asLong(0)));
+            }
+            events.add(new ListEvent(need(update, "index").asLong(), list.path("complete").asBoolean(), entries));
+        }
+        return events;
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonseam/node/ServerLink.java
@@ -0,0 +1,527 @@
+package damsonseam.node;
+
+import damsonseam.Front.Reason;
+import damsonseam.Front.Report;
+import damsonseam.Front.Result;
+import damsonseam.Front.State;
+import damsonseam.config.Endpoint;
+import damsonseam.core.Pool;
+import damsonseam.core.Router;
+import damsonseam.sip.SipDecoder;
+import damsonseam.sip.SipHeaders;
+import damsonseam.sip.SipMessage;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.ConnectException;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The way to one signalling server: its connections, the attempts out there and the calls that stand there. A
+ * set-up takes a connection that carries no other, or the one with the fewest, and one more is made for the next
+ * as long as all are taken: what a server spoils on a connection then spoils few calls.
+ */
+final class ServerLink {
+    private static final Logger LOG = LoggerFactory.getLogger(ServerLink.class);
+    private static final double FIRST_PAUSE = 50;
+    private static final double MOST_PAUSE = 1_000;
+    /** Octets unsent beyond which a server is taken not to read. */
+    private static final int MOST_UNSENT = 256 << 10;
+    /** Set-ups that wait for a connection at the most. */
+    private static final int MOST_WAITING = 1_000;
+    /** Attempts given up that are remembered, so that an answer which crossed the give-up ends its call. */
+    private static final int MOST_GIVEN_UP = 1_000;
+    /** Silence of a server with calls standing, before it is tested, and before they count as cut: the platform
+     * wants the release of a call whose end nobody told within 8 s. */
+    private static final double TEST_AFTER = 2_000;
+    private static final double DEAD_AFTER = 5_000;
+    private static final String PING = "sip:ping@net";
+
+    private final ServerLinks.Shared shared;
+    private final Router router;
+    private Pool.Server server;
+    private final List<ServerConnection> connections = new ArrayList<>();
+    private final Map<String, Attempt> attempts = new HashMap<>();
+    private final ArrayDeque<Attempt> waiting = new ArrayDeque<>();
+    private final Set<NodeCall> standing = new HashSet<>();
+    private final Map<String, String> givenUp = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, String> eldest) {
+            return size() > MOST_GIVEN_UP;
+        }
+    };
+    private final Map<String, Test> tests = new HashMap<>();
+    private boolean connecting;
+    private boolean tried;
+    private boolean wanted = true;
+    private boolean pausing;
+    private double pause = FIRST_PAUSE;
+    private double heardAt;
+    private double testedAt;
+    private long testNumber;
+
+    /** An attempt that has not ended. */
+    private static final class Attempt {
+        final NodeCall of;
+        final long call;
+        final int number;
+        final double until;
+        ServerConnection on;
+
+        Attempt(NodeCall of, long call, int number, double until) {
+            this.of = of;
+            this.call = call;
+            this.number = number;
+            this.until = until;
+        }
+
+        String key() {
+            return ServerLink.key(of.id, number);
+        }
+    }
+
+    /** A test that is not answered yet; the module hears of those that it asked for. */
+    private record Test(double sentAt, boolean asked, ServerConnection on) { }
+
+    ServerLink(ServerLinks.Shared shared, Router router, Pool.Server server) {
+        this.shared = shared;
+        this.router = router;
+        this.server = server;
+        heardAt = shared.loop().now();
+        connect();
+    }
+
+    /** The attempts of one call are told apart by the number in CSeq. */
+    private static String key(String id, long attempt) {
+        return id + "/" + attempt;
+    }
+
+    String id() {
+        return server.id();
+    }
+
+    Set<NodeCall> standing() {
+        return standing;
+    }
+
+    /** Whether a first connection was made or failed. */
+    boolean tried() {
+        return tried;
+    }
+
+    private double now() {
+        return shared.loop().now();
+    }
+
+    // ---- The list ---------------------------------------------------------------------------------------
+
+    /** The list names this server, perhaps with a later start or draining. */
+    void update(Pool.Server news) {
+        Pool.Server old = server;
+        server = news;
+        wanted = true;
+        if (news.state() != State.RUNNING) {
+            endWaiting();
+        }
+        double started = news.startedAt().orElse(Double.NEGATIVE_INFINITY);
+        if (started > old.startedAt().orElse(Double.NEGATIVE_INFINITY)) {
+            // What stood at the process before this one ended with it, told or not.
+            cut(call -> call.stoodAt < started);
+        }
+        if (!news.address().equals(old.address())) {
+            List.copyOf(connections).forEach(ServerConnection::close);
+        }
+        connect();
+    }
+
+    /** The list names it no more: what stands there runs on while its connections do. */
+    void unwanted() {
+        if (wanted) {
+            wanted = false;
+            endWaiting();
+            closeIfUnused();
+        }
+    }
+
+    /** Whether this link is of no more use. */
+    boolean over() {
+        return !wanted && connections.isEmpty() && standing.isEmpty() && attempts.isEmpty() && !connecting;
+    }
+
+    private void closeIfUnused() {
+        if (!wanted && standing.isEmpty() && attempts.isEmpty()) {
+            List.copyOf(connections).forEach(ServerConnection::close);
+        }
+    }
+
+    // ---- Connections ------------------------------------------------------------------------------------
+
+    private void connect() {
+        if (connecting || !wanted || connections.size() >= shared.mostConnections()) {
+            return;
+        }
+        connecting = true;
+        new Bootstrap().group(shared.loop().eventLoop()).channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.ALLOCATOR, NodeServer.BUFFERS)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) shared.connectTimeout())
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(MOST_UNSENT / 2, MOST_UNSENT))
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel made) {
+                        made.pipeline().addLast(new SipDecoder(), new ServerConnection(ServerLink.this, made));
+                    }
+                }).connect(Endpoint.of(server.address()).socket()).addListener(f -> {
+                    if (!f.isSuccess()) {
+                        notConnected(f.cause());
+                    }
+                });
+    }
+
+    /** A connection stands: what waited for one goes out. */
+    void connected(ServerConnection connection) {
+        connecting = false;
+        tried = true;
+        pause = FIRST_PAUSE;
+        connections.add(connection);
+        heardAt = Math.max(heardAt, now() - TEST_AFTER);
+        for (Attempt a = waiting.poll(); a != null; a = waiting.poll()) {
+            send(a, connection);
+        }
+    }
+
+    private void notConnected(Throwable why) {
+        connecting = false;
+        tried = true;
+        endWaiting();
+        if (connections.isEmpty()) {
+            if (why instanceof ConnectException && !(why instanceof io.netty.channel.ConnectTimeoutException)) {
+                // Refused: there is no process any more, and what stood there is cut.
+                cut(call -> true);
+            }
+            again();
+        }
+        shared.loop().kick();
+    }
+
+    /** A connection is gone: what was out on it may have run. */
+    void disconnected(ServerConnection connection) {
+        connections.remove(connection);
+        router.clock(now());
+        for (Attempt a : List.copyOf(attempts.values())) {
+            if (a.on == connection) {
+                end(a, Result.RESET, Reason.NONE, Report.NONE);
+            }
+        }
+        tests.entrySet().removeIf(e -> {
+            boolean lost = e.getValue().on == connection;
+            if (lost && e.getValue().asked) {
+                router.probed(now(), server.id(), true, false, now() - e.getValue().sentAt, Report.NONE);
+            }
+            return lost;
+        });
+        if (connections.isEmpty()) {
+            if (wanted) {
+                connect();
+            } else {
+                cut(call -> true);
+            }
+        }
+        shared.loop().kick();
+    }
+
+    private void again() {
+        if (!wanted || pausing) {
+            return;
+        }
+        // Fronts lose a server together: half to all of the pause keeps their connections apart.
+        double wait = pause * (0.5 + 0.5 * Math.random());
+        pause = Math.min(MOST_PAUSE, 2 * pause);
+        pausing = true;
+        shared.loop().timers().set(now() + wait, at -> {
+            pausing = false;
+            if (connections.isEmpty()) {
+                connect();
+            }
+        });
+    }
+
+    /** The connection that carries the fewest attempts, or null. */
+    private ServerConnection best() {
+        ServerConnection best = null;
+        for (ServerConnection c : connections) {
+            if (c.usable() && (best == null || c.out() < best.out())) {
+                best = c;
+            }
+        }
+        return best;
+    }
+
+    // ---- Attempts ---------------------------------------------------------------------------------------
+
+    /** Sends a set-up, or keeps it until a connection stands; false if it can't go out. */
+    boolean setUp(NodeCall of, long call, int number, double until) {
+        ServerConnection on = best();
+        if (on == null && (!connections.isEmpty() || waiting.size() >= MOST_WAITING || !wanted)) {
+            return false;
+        }
+        Attempt attempt = new Attempt(of, call, number, until);
+        attempts.put(attempt.key(), attempt);
+        if (on == null) {
+            waiting.add(attempt);
+            connect();
+            return true;
+        }
+        if (on.out() > 0) {
+            connect();
+        }
+        send(attempt, on);
+        return true;
+    }
+
+    private void send(Attempt attempt, ServerConnection on) {
+        attempt.on = on;
+        on.out(1);
+        NodeCall of = attempt.of;
+        SipMessage invite = SipMessage.request(SipMessage.INVITE, of.target, of.id, attempt.number + 1, of.offer)
+                .with("X-Cos", of.className)
+                .with("X-Timer-Ms", Long.toString(Math.max(1, (long) (attempt.until - now()))));
+        if (of.legs != null) {
+            invite.with("X-Legs", of.legs);
+        }
+        on.send(invite, null);
+    }
+
+    /** Gives an attempt up; the core hears when the system has taken the give-up. */
+    void cancel(String id, int number) {
+        Attempt attempt = attempts.remove(key(id, number));
+        if (attempt == null) {
+            return;
+        }
+        long call = attempt.call;
+        if (attempt.on == null) {
+            waiting.remove(attempt);
+            shared.loop().timers().set(now(), at -> router.released(at, call, number));
+            return;
+        }
+        attempt.on.out(-1);
+        givenUp.put(attempt.key(), attempt.of.target);
+        attempt.on.send(SipMessage.request(SipMessage.CANCEL, attempt.of.target, id, number + 1), sent -> {
+            router.released(now(), call, number);
+            shared.loop().kick();
+        });
+    }
+
+    private void end(Attempt attempt, Result result, Reason reason, Report report) {
+        attempts.remove(attempt.key());
+        if (attempt.on != null) {
+            attempt.on.out(-1);
+        }
+        router.ended(now(), attempt.call, attempt.number, result, reason, OptionalDouble.empty(), report);
+        closeIfUnused();
+    }
+
+    /** What waits for a connection never went out. */
+    private void endWaiting() {
+        for (Attempt a = waiting.poll(); a != null; a = waiting.poll()) {
+            end(a, Result.UNREACHABLE, Reason.NONE, Report.NONE);
+        }
+    }
+
+    /** Sends the release of a call that stands. */
+    void bye(String id, String target) {
+        ServerConnection on = best();
+        if (on != null) {
+            on.send(SipMessage.request(SipMessage.BYE, target, id, 2).with(SipHeaders.REASON, "Q.850;cause=16"), null);
+        }
+        closeIfUnused();
+    }
+
+    private void cut(java.util.function.Predicate<NodeCall> which) {
+        router.clock(now());
+        for (NodeCall call : List.copyOf(standing)) {
+            if (which.test(call)) {
+                shared.book().ended(call, Result.RESET, Report.NONE);
+            }
+        }
+    }
+
+    // ---- What the server says ---------------------------------------------------------------------------
+
+    void received(ServerConnection on, SipMessage message) {
+        double now = now();
+        heardAt = now;
+        router.catchUp(now);
+        router.clock(now);
+        Report report = report(message);
+        if (!message.isRequest()) {
+            answer(on, message, report, now);
+        } else if (message.method().equals(SipMessage.NOTIFY)) {
+            router.probed(now, server.id(), false, true, 0, report);
+        } else if (message.method().equals(SipMessage.BYE)) {
+            on.send(SipMessage.answer(SipMessage.OK, "OK", message.callId(), message.cseq()), null);
+            released(message, report);
+        }
+        shared.loop().kick();
+    }
+
+    private Report report(SipMessage message) {
+        String text = message.headers().get("X-Occupancy");
+        return text == null ? Report.NONE : shared.reports().read(text, IllegalArgumentException::new);
+    }
+
+    private void answer(ServerConnection on, SipMessage message, Report report, double now) {
+        if (!message.isFinal()) {
+            return;
+        }
+        if (message.cseqMethod().equals(SipMessage.OPTIONS)) {
+            Test test = tests.remove(String.valueOf(message.callId()));
+            if (test != null && test.asked) {
+                router.probed(now, server.id(), true, message.status() == SipMessage.OK, now - test.sentAt, report);
+            }
+            return;
+        }
+        if (!message.cseqMethod().equals(SipMessage.INVITE)) {
+            return;
+        }
+        String key = key(message.callId(), message.cseqNumber() - 1);
+        Attempt attempt = attempts.get(key);
+        if (attempt == null || attempt.on != on) {
+            late(on, message, key);
+            return;
+        }
+        on.send(SipMessage.request(SipMessage.ACK, attempt.of.target, attempt.of.id, message.cseqNumber()), null);
+        if (message.status() >= 300) {
+            end(attempt, result(message.status()), reason(message), report);
+            return;
+        }
+        attempts.remove(key);
+        on.out(-1);
+        NodeCall call = attempt.of;
+        call.answer = message.body();
+        call.answerType = message.headers().get("Content-Type");
+        shared.book().stands(call, this, now);
+        router.stands(now, attempt.call, attempt.number, report);
+        if (call.answer != null) {
+            // The core took it for too late: nobody waits for this call any more.
+            call.answer = null;
+            call.standsAt = null;
+            standing.remove(call);
+            bye(call.id, call.target);
+        }
+    }
+
+    /** The answer to an attempt that was given up: if its call stands, it is released. Others are passed over. */
+    private void late(ServerConnection on, SipMessage message, String key) {
+        String target = givenUp.remove(key);
+        if (target != null) {
+            on.send(SipMessage.request(SipMessage.ACK, target, message.callId(), message.cseqNumber()), null);
+            if (message.status() < 300) {
+                bye(message.callId(), target);
+            }
+        }
+    }
+
+    private static Result result(int status) {
+        return switch (status) {
+            case 503 -> Result.FULL;
+            case 480 -> Result.NOT_SENT;
+            case 504 -> Result.RESET;
+            default -> Result.ERROR;
+        };
+    }
+
+    private static Reason reason(SipMessage message) {
+        return switch (String.valueOf(message.headers().get("X-Diagnosis"))) {
+            case "all_trunks_busy" -> Reason.NO_LINE;
+            case "via_said_no", "far_cpu_full" -> Reason.BEYOND_FULL;
+            case "cpu_full" -> Reason.PROCESSOR_FULL;
+            case "number_busy" -> Reason.NUMBER_BUSY;
+            default -> Reason.NONE;
+        };
+    }
+
+    private void released(SipMessage message, Report report) {
+        NodeCall call = shared.book().get(String.valueOf(message.callId()));
+        if (call == null) {
+            return;
+        }
+        String reason = String.valueOf(message.headers().get(SipHeaders.REASON));
+        if (call.standsAt == this) {
+            boolean tidy = reason.replace(" ", "").endsWith("cause=" + CallBook.NORMAL_CLEARING);
+            shared.book().ended(call, tidy ? Result.COMPLETED : Result.RESET, report);
+            closeIfUnused();
+            return;
+        }
+        for (Attempt a : List.copyOf(attempts.values())) {
+            if (a.of == call) {
+                end(a, Result.RESET, Reason.NONE, report);
+            }
+        }
+    }
+
+    // ---- Tests ------------------------------------------------------------------------------------------
+
+    /** A test that the module asks for. */
+    void probe() {
+        test(true);
+    }
+
+    private void test(boolean asked) {
+        ServerConnection on = best();
+        double now = now();
+        if (on == null) {
+            connect();
+            if (asked) {
+                shared.loop().timers().set(now + shared.connectTimeout(),
+                        at -> router.probed(at, server.id(), true, !connections.isEmpty(), at - now, Report.NONE));
+            }
+            return;
+        }
+        String id = String.format("%016x", (long) server.id().hashCode() << 32 | testNumber++ & 0xffffffffL);
+        tests.put(id, new Test(now, asked, on));
+        on.send(SipMessage.request(SipMessage.OPTIONS, PING, id, 1), null);
+        shared.loop().timers().set(now + shared.connectTimeout(), at -> {
+            if (tests.remove(id) != null && asked) {
+                router.probed(at, server.id(), true, false, at - now, Report.NONE);
+            }
+        });
+    }
+
+    /** Looks after calls that stand at a server which says nothing. */
+    void sweep(double now) {
+        if (standing.isEmpty()) {
+            closeIfUnused();
+            return;
+        }
+        double silent = now - heardAt;
+        if (silent > DEAD_AFTER) {
+            LOG.atWarn().addKeyValue("server", server.id()).addKeyValue("calls", standing.size())
+                    .log("silent server: its calls count as cut");
+            List.copyOf(connections).forEach(ServerConnection::close);
+            cut(call -> true);
+        } else if (silent > TEST_AFTER && now - testedAt > TEST_AFTER / 2) {
+            testedAt = now;
+            test(false);
+        }
+    }
+
+    void close() {
+        wanted = false;
+        List.copyOf(connections).forEach(ServerConnection::close);
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonseam/node/ServerLinks.java
@@ -0,0 +1,113 @@
+package damsonseam.node;
+
+import damsonseam.Front.Reason;
+import damsonseam.Front.Report;
+import damsonseam.Front.Result;
+import damsonseam.Front.State;
+import damsonseam.core.CallRecord;
+import damsonseam.core.Pool;
+import damsonseam.core.Ports;
+import damsonseam.core.Router;
+import damsonseam.loop.Loop;
+import damsonseam.settings.ReportFields;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/** The ways to the signalling servers, one for each that the list has named and that is still of use. */
+final class ServerLinks implements Ports.Trunks {
+    private static final Ports.NotSent UNREACHABLE = new Ports.NotSent(Result.UNREACHABLE, Reason.NONE);
+    private static final double SWEEP_MS = 250;
+
+    /**
+     * What all links share.
+     *
+     * @param connectTimeout how long a connection may take, in milliseconds
+     * @param mostConnections connections to one server at the most
+     */
+    record Shared(Loop loop, CallBook book, ReportFields reports, double connectTimeout, int mostConnections) { }
+
+    private final Shared shared;
+    private final Map<String, ServerLink> links = new HashMap<>();
+    private Router router;
+
+    ServerLinks(Shared shared) {
+        this.shared = shared;
+    }
+
+    void start(Router router) {
+        this.router = router;
+        shared.loop().timers().set(shared.loop().now() + SWEEP_MS, this::sweep);
+    }
+
+    ServerLink get(String id) {
+        return links.get(id);
+    }
+
+    int size() {
+        return links.size();
+    }
+
+    /** Follows the list: new servers get a link, those gone from it lose theirs once their calls are over. */
+    void follow(Pool pool) {
+        Set<String> listed = new HashSet<>();
+        for (Pool.Server server : pool.servers()) {
+            listed.add(server.id());
+            ServerLink link = links.get(server.id());
+            if (link == null) {
+                links.put(server.id(), new ServerLink(shared, router, server));
+            } else {
+                link.update(server);
+            }
+        }
+        links.values().forEach(link -> {
+            if (!listed.contains(link.id())) {
+                link.unwanted();
+            }
+        });
+    }
+
+    private void sweep(double now) {
+        links.values().forEach(link -> link.sweep(now));
+        links.values().removeIf(ServerLink::over);
+        shared.loop().timers().set(now + SWEEP_MS, this::sweep);
+    }
+
+    @Override
+    public Ports.NotSent setUp(double now, String server, long call, int attempt, double until, CallRecord record) {
+        ServerLink link = links.get(server);
+        NodeCall of = shared.book().get(call);
+        return link != null && of != null && link.setUp(of, call, attempt, until) ? null : UNREACHABLE;
+    }
+
+    @Override
+    public double release(double now, String server, long call, int attempt, boolean timedOut) {
+        ServerLink link = links.get(server);
+        NodeCall of = shared.book().get(call);
+        if (link != null && of != null) {
+            link.cancel(of.id, attempt);
+        }
+        return shared.loop().now();
+    }
+
+    @Override
+    public void probe(double now, String server) {
+        ServerLink link = links.get(server);
+        if (link != null) {
+            link.probe();
+        } else {
+            shared.loop().timers().set(now, at -> router.probed(at, server, true, false, 0, Report.NONE));
+        }
+    }
+
+    /** Whether each running server of the list has been reached, or has been tried in vain. */
+    boolean ready() {
+        return router.pool().servers().stream().filter(s -> s.state() == State.RUNNING)
+                .allMatch(s -> links.containsKey(s.id()) && links.get(s.id()).tried());
+    }
+
+    void close() {
+        links.values().forEach(ServerLink::close);
+    }
+}
--- a/src/test/java/damsonseam/ArchitectureTest.java
+++ b/src/test/java/damsonseam/ArchitectureTest.java
@@ -11,7 +11,8 @@
 /** Imports point one way, and what decides does no I/O and reads no clock. */
 @AnalyzeClasses(packages = "damsonseam", importOptions = ImportOption.DoNotIncludeTests.class)
 class ArchitectureTest {
-    private static final String[] ABOVE_CORE = {"damsonseam.dns..", "damsonseam.ss7..", "damsonseam.config..",
+    private static final String[] ABOVE_CORE = {"damsonseam.dns..", "damsonseam.ss7..", "damsonseam.sip..",
+        "damsonseam.config..", "damsonseam.settings..", "damsonseam.loop..", "damsonseam.node..",
         "damsonseam.front..", "damsonseam.standin..", "damsonseam.audit..", "damsonseam.day..",
         "damsonseam.cli..", "damsonseam.adapter..", "damsonseam.directory..", "damsonseam.load..",
         "damsonseam.bench.."};
@@ -32,9 +33,24 @@
 
     @ArchTest
     static final ArchRule PROTOCOLS_KNOW_NO_FRONT = noClasses()
-            .that().resideInAnyPackage("damsonseam.dns..", "damsonseam.ss7..")
+            .that().resideInAnyPackage("damsonseam.dns..", "damsonseam.ss7..", "damsonseam.sip..")
+            .should().dependOnClassesThat().resideInAnyPackage("damsonseam.front..", "damsonseam.node..",
+                    "damsonseam.standin..", "damsonseam.audit..", "damsonseam.day..", "damsonseam.cli..",
+                    "damsonseam.config..", "damsonseam.settings..");
+
+    /** Messages alone: on Netty's buffers, without channels of its own, the core or the module. */
+    @ArchTest
+    static final ArchRule SIP_KNOWS_MESSAGES_ONLY = classes().that().resideInAPackage("damsonseam.sip..")
+            .should().onlyDependOnClassesThat().resideInAnyPackage("damsonseam.sip..", "io.netty.buffer..",
+                    "io.netty.channel", "io.netty.handler.codec..", "java.lang..", "java.util..",
+                    "java.nio.charset..");
+
+    @ArchTest
+    static final ArchRule NODE_KNOWS_NO_OTHER_FRONT = noClasses()
+            .that().resideInAnyPackage("damsonseam.node..", "damsonseam.settings..", "damsonseam.loop..")
             .should().dependOnClassesThat().resideInAnyPackage("damsonseam.front..", "damsonseam.standin..",
-                    "damsonseam.audit..", "damsonseam.day..", "damsonseam.cli..", "damsonseam.config..");
+                    "damsonseam.audit..", "damsonseam.day..", "damsonseam.cli..", "damsonseam.dns..",
+                    "damsonseam.ss7..");
 
     @ArchTest
     static final ArchRule FRONT_KNOWS_NO_STAND_IN = noClasses().that().resideInAPackage("damsonseam.front..")
@@ -64,5 +80,10 @@
     @ArchTest
     static final ArchRule ADAPTER_LOADS_NO_LIBRARY = classes().that().resideInAPackage("damsonseam.adapter..")
             .should().onlyDependOnClassesThat().resideInAnyPackage("damsonseam", "damsonseam.adapter..",
+                    "damsonseam.settings..", "java..");
+
+    @ArchTest
+    static final ArchRule SETTINGS_LOAD_NO_LIBRARY = classes().that().resideInAPackage("damsonseam.settings..")
+            .should().onlyDependOnClassesThat().resideInAnyPackage("damsonseam", "damsonseam.settings..",
                     "java..");
 }
--- a/src/test/java/damsonseam/sim/SimFront.java
+++ b/src/test/java/damsonseam/sim/SimFront.java
@@ -339,7 +339,7 @@
     }
 
     @Override
-    public Ports.NotSent setUp(double at, String server, long call, int attempt, CallRecord record) {
+    public Ports.NotSent setUp(double at, String server, long call, int attempt, double until, CallRecord record) {
         if (unreachable.contains(server)) {
             return new Ports.NotSent(Result.UNREACHABLE, Reason.NONE);
         }
