--- a/src/main/java/damsonseam/cli/NodeCommand.java
+++ b/src/main/java/damsonseam/cli/NodeCommand.java
@@ -2,6 +2,7 @@
 
 import ch.qos.logback.classic.Level;
 import damsonseam.config.SettingsException;
+import damsonseam.loop.CallLog;
 import damsonseam.node.NodeConfig;
 import damsonseam.node.NodeServer;
 import java.io.IOException;
@@ -33,7 +34,11 @@
         Path config = Path.of(file);
         // First of all: a signal that comes during the start must not end the process.
         Signal.handle(new Signal("HUP"), s -> reload(config, running.get()));
-        Logging.configure(null, Level.INFO);
+        // The story of each call costs as much as the call: it is told where DEBUG is asked for.
+        Level level = Level.toLevel(System.getenv("DAMSONSEAM_LOG"), Level.INFO);
+        Logging.configure(null, level);
+        ((ch.qos.logback.classic.Logger) LoggerFactory.getLogger(CallLog.NAME))
+                .setLevel(level.isGreaterOrEqual(Level.INFO) ? Level.WARN : level);
         try {
             NodeServer node = NodeServer.start(NodeConfig.read(config));
             running.set(node);
--- a/src/main/java/damsonseam/front/FrontServer.java
+++ b/src/main/java/damsonseam/front/FrontServer.java
@@ -17,6 +17,7 @@
 import damsonseam.dns.PlainQuestion;
 import damsonseam.dns.Resolver;
 import damsonseam.dns.Transactions;
+import damsonseam.loop.CallLog;
 import damsonseam.loop.Loop;
 import damsonseam.overload.Admission;
 import damsonseam.overload.Gate;
--- a/src/main/java/damsonseam/front/CallLog.java
+++ b/src/main/java/damsonseam/loop/CallLog.java
@@ -1,4 +1,4 @@
-package damsonseam.front;
+package damsonseam.loop;
 
 import damsonseam.core.CallRecord;
 import damsonseam.core.Story;
@@ -6,12 +6,15 @@
 import org.slf4j.LoggerFactory;
 
 /** The story of each call in the log, one line a step. */
-final class CallLog implements Story {
-    private static final Logger LOG = LoggerFactory.getLogger("damsonseam.calls");
+public final class CallLog implements Story {
+    /** The logger that tells the calls. */
+    public static final String NAME = "damsonseam.calls";
+    private static final Logger LOG = LoggerFactory.getLogger(NAME);
 
     private final String front;
 
-    CallLog(String front) {
+    /** The log of the front of this name. */
+    public CallLog(String front) {
         this.front = front;
     }
 
--- a/src/main/java/damsonseam/node/NodeServer.java
+++ b/src/main/java/damsonseam/node/NodeServer.java
@@ -7,6 +7,7 @@
 import damsonseam.core.Router;
 import damsonseam.core.RouterSettings;
 import damsonseam.core.Story;
+import damsonseam.loop.CallLog;
 import damsonseam.loop.Loop;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.PooledByteBufAllocator;
@@ -74,7 +75,8 @@
                 actions -> new Decide(module, actions), new CallTable(most, System.currentTimeMillis() / 1000),
                 loop.timers(), (call, number, deadline) -> {
                     throw new IllegalStateException("a front node looks no numbers up");
-                }, servers, coordinator, Story.NONE);
+                }, servers, coordinator,
+                LoggerFactory.getLogger(CallLog.NAME).isInfoEnabled() ? new CallLog(config.name()) : Story.NONE);
     }
 
     /** Starts a front node; returns when its port is open. */
