--- a/src/main/java/damsonseam/cli/NodeCommand.java
+++ b/src/main/java/damsonseam/cli/NodeCommand.java
@@ -5,6 +5,7 @@
 import damsonseam.loop.CallLog;
 import damsonseam.node.NodeConfig;
 import damsonseam.node.NodeServer;
+import damsonseam.standin.Rehearsal;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
@@ -12,15 +13,22 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
 import sun.misc.Signal;
 
 /** Stands in the help; {@link Main} runs the node without the command line's library, which costs its start. */
 @Command(name = "node", mixinStandardHelpOptions = true, description = {"Runs one front node of the platform.",
     "Reads the JSON file that NODE_CONFIG names. SIGHUP reads it again; SIGTERM finishes what is open and ends."})
 final class NodeCommand implements Callable<Integer> {
+    @Option(names = "--rehearse", description = "Play some calls through a node on loopback and end; exits with 1 if "
+            + "one did not stand.")
+    private boolean rehearse;
 
     @Override
     public Integer call() throws Exception {
+        if (rehearse) {
+            return Rehearsal.play() ? Commands.FINE : Commands.FAILED;
+        }
         return run(System.getenv("NODE_CONFIG"));
     }
 
--- a/src/main/java/damsonseam/node/CallBook.java
+++ b/src/main/java/damsonseam/node/CallBook.java
@@ -81,7 +81,7 @@
         return true;
     }
 
-    void stands(NodeCall call, ServerLink server, double now) {
+    private static void stands(NodeCall call, ServerLink server, double now) {
         call.standsAt = server;
         call.stoodAt = now;
         call.offer = null;
@@ -92,6 +92,7 @@
     void answered(double now, NodeCall call, CallRecord record, FinalAnswer said) {
         CallerLink caller = call.caller;
         if (said.kind() == FinalAnswer.Kind.STANDS) {
+            stands(call, call.answering, now);
             SipMessage ok = SipMessage.answer(SipMessage.OK, "OK", call.id, call.cseq, call.answer);
             if (call.answerType != null) {
                 ok.with("Content-Type", call.answerType);
@@ -100,7 +101,7 @@
             caller.answered(call);
             caller.send(ok, sent -> {
                 // The answer can't reach its caller any more: nobody is at this call.
-                if (!sent && call.standsAt != null && byId.get(call.id) == call && call.caller == caller) {
+                if (!sent && byId.get(call.id) == call && call.caller == caller) {
                     hangUp(call);
                 }
             });
--- a/src/main/java/damsonseam/node/NodeCall.java
+++ b/src/main/java/damsonseam/node/NodeCall.java
@@ -29,6 +29,8 @@
     CallerLink caller;
     /** The core's record, null for a call that is not the core's. */
     CallRecord record;
+    /** The server whose answer the core is being told of, else null. */
+    ServerLink answering;
     /** The server at which it stands, else null. */
     ServerLink standsAt;
     /** When it began to stand, on the node's clock. */
--- a/src/main/java/damsonseam/node/NodeServer.java
+++ b/src/main/java/damsonseam/node/NodeServer.java
@@ -37,8 +37,6 @@
     private static final int MOST_HELD = 20_000;
     /** Open calls that a megabyte of memory is given for: one may hold two descriptions of 16 KiB at worst. */
     private static final int CALLS_A_MB = 32;
-    /** Connections to one server at the most: what one spoils of a connection spoils an eighth of its calls. */
-    private static final int SERVER_CONNECTIONS = 8;
     /** Descriptors that the process itself holds: jars, pipes, the selector, the listener, the coordinator. */
     private static final int OWN_DESCRIPTORS = 40;
     /** After SIGTERM the platform still sends for 0.6 s, and what comes later than 0.7 s is none of this node's. */
@@ -63,11 +61,11 @@
         loop = new Loop((EventLoop) group.next(), BEAT);
         Settings module = config.settings().settings(config.seed());
         CallSettings calls = new CallSettings(config.settings());
-        servers = new ServerLinks(new ServerLinks.Shared(loop, book, calls.reports(),
-                config.settings().connectTimeout().orElse(CONNECT_TIMEOUT), SERVER_CONNECTIONS));
         // Callers may take a third of the descriptors; some more are room for those that give way.
-        callers = new CallerListener(loop, calls, book, servers, (config.sockets() - OWN_DESCRIPTORS) / 2,
-                this::ready);
+        int half = (config.sockets() - OWN_DESCRIPTORS) / 2;
+        servers = new ServerLinks(loop, book, calls.reports(),
+                config.settings().connectTimeout().orElse(CONNECT_TIMEOUT), half / 2);
+        callers = new CallerListener(loop, calls, book, servers, half, this::ready);
         coordinator = new CoordinatorClient(loop, servers, config.coordinator());
         int most = Math.min(config.settings().mostHeld().orElse(MOST_HELD),
                 config.memoryMb() > 0 ? config.memoryMb() * CALLS_A_MB : MOST_HELD);
@@ -83,7 +81,7 @@
     public static NodeServer start(NodeConfig config) throws IOException {
         NodeServer node = new NodeServer(config);
         try {
-            node.open();
+            node.listen();
         } catch (IOException e) {
             node.close();
             throw e;
@@ -91,7 +89,7 @@
         return node;
     }
 
-    private void open() throws IOException {
+    private void listen() throws IOException {
         call(() -> {
             book.start(router, callers);
             servers.start(router);
@@ -143,6 +141,26 @@
         return call(() -> router.owed());
     }
 
+    /** Calls of callers, those that stand included. */
+    int open() {
+        return call(() -> book.size());
+    }
+
+    /** Connections from callers. */
+    int callers() {
+        return call(() -> callers.connections());
+    }
+
+    /** Signalling servers that are still of use. */
+    int links() {
+        return call(() -> servers.size());
+    }
+
+    /** Number of the last change of the list. */
+    long listVersion() {
+        return call(() -> router.pool().version());
+    }
+
     /** Counts since the start; read them when the node is at rest. */
     public Counters counters() {
         return router.counters();
--- a/src/main/java/damsonseam/node/ServerLink.java
+++ b/src/main/java/damsonseam/node/ServerLink.java
@@ -36,6 +36,8 @@
  */
 final class ServerLink {
     private static final Logger LOG = LoggerFactory.getLogger(ServerLink.class);
+    /** Connections to one server at the most: what it spoils on one of them then spoils an eighth of its calls. */
+    private static final int MOST_CONNECTIONS = 8;
     private static final double FIRST_PAUSE = 50;
     private static final double MOST_PAUSE = 1_000;
     /** Octets unsent beyond which a server is taken not to read. */
@@ -66,6 +68,8 @@
         }
     };
     private final Map<String, Test> tests = new HashMap<>();
+    /** Releases that wait for a connection. */
+    private final ArrayDeque<SipMessage> byes = new ArrayDeque<>();
     private boolean connecting;
     private boolean tried;
     private boolean wanted = true;
@@ -115,6 +119,10 @@
         return server.id();
     }
 
+    int connections() {
+        return connections.size();
+    }
+
     Set<NodeCall> standing() {
         return standing;
     }
@@ -146,7 +154,9 @@
         if (!news.address().equals(old.address())) {
             List.copyOf(connections).forEach(ServerConnection::close);
         }
-        connect();
+        if (connections.isEmpty()) {
+            connect();
+        }
     }
 
     /** The list names it no more: what stands there runs on while its connections do. */
@@ -172,7 +182,8 @@
     // ---- Connections ------------------------------------------------------------------------------------
 
     private void connect() {
-        if (connecting || !wanted || connections.size() >= shared.mostConnections()) {
+        boolean room = connections.isEmpty() || connections.size() < MOST_CONNECTIONS && shared.room().getAsBoolean();
+        if (connecting || !wanted || !room) {
             return;
         }
         connecting = true;
@@ -202,6 +213,9 @@
         for (Attempt a = waiting.poll(); a != null; a = waiting.poll()) {
             send(a, connection);
         }
+        for (SipMessage bye = byes.poll(); bye != null; bye = byes.poll()) {
+            connection.send(bye, null);
+        }
     }
 
     private void notConnected(Throwable why) {
@@ -212,6 +226,7 @@
             if (why instanceof ConnectException && !(why instanceof io.netty.channel.ConnectTimeoutException)) {
                 // Refused: there is no process any more, and what stood there is cut.
                 cut(call -> true);
+                byes.clear();
             }
             again();
         }
@@ -344,9 +359,12 @@
 
     /** Sends the release of a call that stands. */
     void bye(String id, String target) {
+        SipMessage bye = SipMessage.request(SipMessage.BYE, target, id, 2).with(SipHeaders.REASON, "Q.850;cause=16");
         ServerConnection on = best();
         if (on != null) {
-            on.send(SipMessage.request(SipMessage.BYE, target, id, 2).with(SipHeaders.REASON, "Q.850;cause=16"), null);
+            on.send(bye, null);
+        } else if (byes.size() < MOST_WAITING) {
+            byes.add(bye);
         }
         closeIfUnused();
     }
@@ -414,13 +432,12 @@
         NodeCall call = attempt.of;
         call.answer = message.body();
         call.answerType = message.headers().get("Content-Type");
-        shared.book().stands(call, this, now);
+        call.answering = this;
         router.stands(now, attempt.call, attempt.number, report);
-        if (call.answer != null) {
+        call.answering = null;
+        if (call.standsAt == null) {
             // The core took it for too late: nobody waits for this call any more.
             call.answer = null;
-            call.standsAt = null;
-            standing.remove(call);
             bye(call.id, call.target);
         }
     }
--- a/src/main/java/damsonseam/node/ServerLinks.java
+++ b/src/main/java/damsonseam/node/ServerLinks.java
@@ -14,6 +14,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 
 /** The ways to the signalling servers, one for each that the list has named and that is still of use. */
 final class ServerLinks implements Ports.Trunks {
@@ -21,19 +22,25 @@
     private static final double SWEEP_MS = 250;
 
     /**
-     * What all links share.
+     * What all links have in common.
      *
      * @param connectTimeout how long a connection may take, in milliseconds
-     * @param mostConnections connections to one server at the most
+     * @param room whether there may be one more connection beside the first to each server
      */
-    record Shared(Loop loop, CallBook book, ReportFields reports, double connectTimeout, int mostConnections) { }
+    record Shared(Loop loop, CallBook book, ReportFields reports, double connectTimeout, BooleanSupplier room) { }
 
     private final Shared shared;
     private final Map<String, ServerLink> links = new HashMap<>();
     private Router router;
 
-    ServerLinks(Shared shared) {
-        this.shared = shared;
+    /**
+     * No links yet.
+     *
+     * @param mostConnections connections to all servers that are made at the most beside the first to each
+     */
+    ServerLinks(Loop loop, CallBook book, ReportFields reports, double connectTimeout, int mostConnections) {
+        shared = new Shared(loop, book, reports, connectTimeout,
+                () -> links.values().stream().mapToInt(ServerLink::connections).sum() < mostConnections);
     }
 
     void start(Router router) {
--- /dev/null
+++ b/src/test/java/damsonseam/sip/SipDecoderTest.java
@@ -0,0 +1,166 @@
+package damsonseam.sip;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.DecoderException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class SipDecoderTest {
+    private static final String INVITE = "INVITE sip:7f3a9c21e0b4d655@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\n"
+            + "Call-ID: 9b1f03aa5c7e2d41\r\nCSeq: 1 INVITE\r\nX-Cos: voice\r\nContent-Length: 9\r\n\r\nabc\r\n\r\nde";
+    private static final String ANSWER = "SIP/2.0 200 OK\r\ni: 9b1f03aa5c7e2d41\r\nCSEQ : 1 INVITE\r\n"
+            + "Subject: one\r\n  two\r\nl: 0\r\n\r\n";
+
+    private static ByteBuf octets(String text) {
+        return Unpooled.copiedBuffer(text, StandardCharsets.UTF_8);
+    }
+
+    private static List<SipMessage> drain(EmbeddedChannel channel) {
+        List<SipMessage> read = new ArrayList<>();
+        for (SipMessage m = channel.readInbound(); m != null; m = channel.readInbound()) {
+            read.add(m);
+        }
+        return read;
+    }
+
+    @Test
+    void readsARequestAndAnAnswer() {
+        EmbeddedChannel channel = new EmbeddedChannel(new SipDecoder());
+        channel.writeInbound(octets(INVITE + "\r\n" + ANSWER));
+        List<SipMessage> read = drain(channel);
+        assertEquals(2, read.size());
+        SipMessage invite = read.get(0);
+        assertTrue(invite.isRequest());
+        assertEquals("sip:7f3a9c21e0b4d655@net", invite.target());
+        assertEquals("9b1f03aa5c7e2d41", invite.callId());
+        assertEquals(1, invite.cseqNumber());
+        assertEquals("INVITE", invite.cseqMethod());
+        assertArrayEquals("abc\r\n\r\nde".getBytes(StandardCharsets.UTF_8), invite.body());
+        SipMessage answer = read.get(1);
+        assertEquals(200, answer.status());
+        assertEquals("9b1f03aa5c7e2d41", answer.callId());
+        assertEquals("one two", answer.headers().get("subject"));
+        assertNull(answer.headers().get("X-Cos"));
+        assertFalse(channel.finish());
+    }
+
+    @Property(tries = 200)
+    void anySplitGivesTheSameMessages(@ForAll @Size(max = 12) List<@IntRange(min = 1, max = 90) Integer> cuts) {
+        EmbeddedChannel channel = new EmbeddedChannel(new SipDecoder());
+        String all = INVITE + ANSWER + INVITE + "\r\n\r\n" + ANSWER;
+        int at = 0;
+        for (int cut : cuts) {
+            int end = Math.min(all.length(), at + cut);
+            channel.writeInbound(octets(all.substring(at, end)));
+            at = end;
+        }
+        channel.writeInbound(octets(all.substring(at)));
+        List<SipMessage> read = drain(channel);
+        assertEquals(4, read.size());
+        for (int i = 0; i < 4; i++) {
+            assertEquals(i % 2 == 0, read.get(i).isRequest());
+            assertEquals(i % 2 == 0 ? 9 : 0, read.get(i).body().length);
+        }
+        channel.finishAndReleaseAll();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {
+        "noise\r\n",
+        "\u0001\u0002 \u0003 x\r\n",
+        "GET / HTTP/1.1\r\n",
+        "INVITE sip:a@net SIP/2.0\n",
+        "SIP/2.0 20 OK\r\n",
+        "SIP/2.0 999 OK\r\n",
+        "INVITE sip:a@net SIP/2.0\r\nno colon\r\n",
+        "INVITE sip:a@net SIP/2.0\r\n folded\r\n",
+        "INVITE sip:a@net SIP/2.0\r\nContent-Length: -1\r\n",
+        "INVITE sip:a@net SIP/2.0\r\nContent-Length: 3000000000\r\n",
+        "INVITE sip:a@net SIP/2.0\r\nContent-Length: 60000000\r\n",
+        "INVITE sip:a@net SIP/2.0\r\nl: 1e3\r\n",
+        "INVITE sip:a@net SIP/2.0\r\nContent-Length:\r\n",
+        "INVITE sip:a@net SIP/2.0\r\nCall-ID: 1\r\n\r\n",
+        "INVITE sip:a@net SIP/2.0\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+        "INVITE sip:a@net SIP/2.0\r\nCall-ID: 1\r\ni: 2\r\nContent-Length: 0\r\n\r\n",
+        "INVITE sip:a@net SIP/2.0\r\nContent-Length: 16384\r\n\r\n",
+    })
+    void refusesWhatIsNoMessageAsSoonAsItIsThere(String text) {
+        EmbeddedChannel channel = new EmbeddedChannel(new SipDecoder());
+        DecoderException e = assertThrows(DecoderException.class, () -> channel.writeInbound(octets(text)));
+        assertTrue(e.getCause() instanceof SipFormatException, e.toString());
+        // What follows is passed over and not kept.
+        channel.writeInbound(octets(INVITE));
+        assertNull(channel.readInbound());
+        channel.finishAndReleaseAll();
+    }
+
+    @Test
+    void aLineWithoutAnEndIsBounded() {
+        EmbeddedChannel channel = new EmbeddedChannel(new SipDecoder());
+        String part = "x".repeat(1_000);
+        channel.writeInbound(octets("INVITE sip:a@net SIP/2.0\r\nA: "));
+        assertThrows(DecoderException.class, () -> {
+            for (int i = 0; i < 20; i++) {
+                channel.writeInbound(octets(part));
+            }
+        });
+        channel.finishAndReleaseAll();
+    }
+
+    @Test
+    void linesWithoutEndAreBounded() {
+        EmbeddedChannel channel = new EmbeddedChannel(new SipDecoder());
+        channel.writeInbound(octets("INVITE sip:a@net SIP/2.0\r\n"));
+        assertThrows(DecoderException.class, () -> {
+            for (int i = 0; i < 100; i++) {
+                channel.writeInbound(octets("A: b\r\n"));
+            }
+        });
+        EmbeddedChannel empty = new EmbeddedChannel(new SipDecoder());
+        assertThrows(DecoderException.class, () -> empty.writeInbound(octets("\r\n".repeat(9_000))));
+        channel.finishAndReleaseAll();
+        empty.finishAndReleaseAll();
+    }
+
+    @Test
+    void whatIsWrittenReadsBackTheSame() {
+        byte[] body = {0, 13, 10, -1, 13, 10, 13, 10, 7};
+        SipMessage sent = SipMessage.request(SipMessage.INVITE, "sip:1@net", "00000000000000ff", 3, body)
+                .with("X-Timer-Ms", "1500").with("Content-Length", "77");
+        EmbeddedChannel channel = new EmbeddedChannel(new SipDecoder());
+        channel.writeInbound(SipEncoder.encode(UnpooledByteBufAllocator.DEFAULT, sent));
+        SipMessage read = channel.readInbound();
+        assertNotNull(read);
+        assertEquals("1500", read.headers().get("X-Timer-Ms"));
+        assertEquals(3, read.cseqNumber());
+        assertArrayEquals(body, read.body());
+        assertFalse(channel.finish());
+    }
+
+    @Test
+    void cseqThatCanNotBeReadIsNone() {
+        SipMessage odd = SipMessage.answer(200, "OK", "1", "x INVITE");
+        assertEquals(-1, odd.cseqNumber());
+        assertEquals("INVITE", odd.cseqMethod());
+        assertEquals("", SipMessage.answer(200, "OK", "1", null).cseqMethod());
+    }
+}
