Front node: no set-up goes out on a connection where one vanished or an answer stopped half way

Ruled out: the server (others are served), the levels (single tests vanish too). At fault: ServerLink.best took the connection with the fewest attempts, and on a dead one that number falls to 0 with each give-up, so it was always preferred.

Now a connection where a set-up was given up without a word since is not used while another can be had, and is closed when nothing is out on it; one with half a message for 1 s is closed. Two tests on loopback.

--- a/src/main/java/damsonseam/node/ServerConnection.java
+++ b/src/main/java/damsonseam/node/ServerConnection.java
@@ -1,5 +1,6 @@
 package damsonseam.node;
 
+import damsonseam.sip.SipDecoder;
 import damsonseam.sip.SipEncoder;
 import damsonseam.sip.SipFormatException;
 import damsonseam.sip.SipMessage;
@@ -18,12 +19,16 @@
 
     private final ServerLink link;
     private final Channel channel;
+    private final SipDecoder decoder;
     private int out;
     private boolean unflushed;
+    private boolean doubtful;
+    private double heardAt;
 
-    ServerConnection(ServerLink link, Channel channel) {
+    ServerConnection(ServerLink link, Channel channel, SipDecoder decoder) {
         this.link = link;
         this.channel = channel;
+        this.decoder = decoder;
     }
 
     /** Attempts out on this connection. */
@@ -39,6 +44,21 @@
         return channel.isActive() && channel.isWritable();
     }
 
+    /** Whether a set-up was given up here that went out after the last word on this connection. */
+    boolean doubtful() {
+        return doubtful;
+    }
+
+    /** A set-up sent at {@code sentAt} is given up: a connection that has said nothing since may be dead. */
+    void givenUp(double sentAt) {
+        doubtful |= heardAt < sentAt;
+    }
+
+    /** Whether a message has been stuck half way for so long that its rest will not come. */
+    boolean stuck(double now, double limit) {
+        return decoder.amidst() && now - heardAt > limit;
+    }
+
     /** Sends a message with what else this turn brings; {@code sent} hears whether the system took it. */
     void send(SipMessage message, Consumer<Boolean> sent) {
         var written = channel.write(SipEncoder.encode(channel.alloc(), message));
@@ -60,14 +80,28 @@
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
+        heard();
         link.connected(this);
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, SipMessage message) {
+        heard();
         link.received(this, message);
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        // Part of a message counts as a word too: only when no more comes is its sender stuck.
+        heard();
+        ctx.fireChannelReadComplete();
+    }
+
+    private void heard() {
+        heardAt = link.now();
+        doubtful = false;
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         link.disconnected(this);
--- a/src/main/java/damsonseam/node/ServerLink.java
+++ b/src/main/java/damsonseam/node/ServerLink.java
@@ -50,6 +50,8 @@
      * wants the release of a call whose end nobody told within 8 s. */
     private static final double TEST_AFTER = 2_000;
     private static final double DEAD_AFTER = 5_000;
+    /** A message stops half way for longer than any packet takes to be sent again. */
+    private static final double STUCK_AFTER = 1_000;
     private static final String PING = "sip:ping@net";
 
     private final ServerLinks.Shared shared;
@@ -88,6 +90,7 @@
         final int number;
         final double until;
         ServerConnection on;
+        double sentAt;
 
         Attempt(NodeCall of, long call, int number, double until) {
             this.of = of;
@@ -138,7 +141,7 @@
         return tried;
     }
 
-    private double now() {
+    double now() {
         return shared.loop().now();
     }
 
@@ -202,10 +205,11 @@
 
     // ---- Connections ------------------------------------------------------------------------------------
 
-    private void connect() {
+    /** Makes one more connection where there is room; returns whether one is being made. */
+    private boolean connect() {
         boolean room = connections.isEmpty() || connections.size() < MOST_CONNECTIONS && shared.room().getAsBoolean();
         if (connecting || !wanted || !room) {
-            return;
+            return connecting;
         }
         connecting = true;
         new Bootstrap().group(shared.loop().eventLoop()).channel(NioSocketChannel.class)
@@ -215,13 +219,15 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel made) {
-                        made.pipeline().addLast(new SipDecoder(), new ServerConnection(ServerLink.this, made));
+                        SipDecoder decoder = new SipDecoder();
+                        made.pipeline().addLast(decoder, new ServerConnection(ServerLink.this, made, decoder));
                     }
                 }).connect(Endpoint.of(server.address()).socket()).addListener(f -> {
                     if (!f.isSuccess()) {
                         notConnected(f.cause());
                     }
                 });
+        return true;
     }
 
     /** A connection stands: what waited for one goes out. */
@@ -296,11 +302,11 @@
         });
     }
 
-    /** The connection that carries the fewest attempts, or null. */
-    private ServerConnection best() {
+    /** The connection that carries the fewest attempts, or null; doubtful ones only where they are allowed. */
+    private ServerConnection best(boolean doubtfulToo) {
         ServerConnection best = null;
         for (ServerConnection c : connections) {
-            if (c.usable() && (best == null || c.out() < best.out())) {
+            if (c.usable() && (doubtfulToo || !c.doubtful()) && (best == null || c.out() < best.out())) {
                 best = c;
             }
         }
@@ -311,15 +317,21 @@
 
     /** Sends a set-up, or keeps it until a connection stands; false if it can't go out. */
     boolean setUp(NodeCall of, long call, int number, double until) {
-        ServerConnection on = best();
-        if (on == null && (!connections.isEmpty() || waiting.size() >= MOST_WAITING || !wanted)) {
+        if (!wanted) {
+            return false;
+        }
+        ServerConnection on = best(false);
+        boolean wait = on == null && waiting.size() < MOST_WAITING && connect();
+        if (on == null && !wait) {
+            on = best(true);
+        }
+        if (on == null && !wait) {
             return false;
         }
         Attempt attempt = new Attempt(of, call, number, until);
         attempts.put(attempt.key(), attempt);
-        if (on == null) {
+        if (wait) {
             waiting.add(attempt);
-            connect();
             return true;
         }
         if (on.out() > 0) {
@@ -331,6 +343,7 @@
 
     private void send(Attempt attempt, ServerConnection on) {
         attempt.on = on;
+        attempt.sentAt = now();
         on.out(1);
         NodeCall of = attempt.of;
         SipMessage invite = SipMessage.request(SipMessage.INVITE, of.target, of.id, attempt.number + 1, of.offer)
@@ -355,6 +368,7 @@
             return;
         }
         attempt.on.out(-1);
+        attempt.on.givenUp(attempt.sentAt);
         givenUp.put(attempt.key(), attempt.of.target);
         attempt.on.send(SipMessage.request(SipMessage.CANCEL, attempt.of.target, id, number + 1), sent -> {
             router.released(now(), call, number);
@@ -381,7 +395,7 @@
     /** Sends the release of a call that stands. */
     void bye(String id, String target) {
         SipMessage bye = SipMessage.request(SipMessage.BYE, target, id, 2).with(SipHeaders.REASON, "Q.850;cause=16");
-        ServerConnection on = best();
+        ServerConnection on = best(true);
         if (on != null) {
             on.send(bye, null);
         } else if (byes.size() < MOST_WAITING) {
@@ -520,7 +534,7 @@
     }
 
     private void test(boolean asked) {
-        ServerConnection on = best();
+        ServerConnection on = best(false);
         double now = now();
         if (on == null) {
             connect();
@@ -540,8 +554,16 @@
         });
     }
 
-    /** Looks after calls that stand at a server which says nothing. */
+    /**
+     * Looks after connections that are of no use any more, as half an answer stands on them or set-ups vanish
+     * there, and after calls that stand at a server which says nothing.
+     */
     void sweep(double now) {
+        for (ServerConnection c : List.copyOf(connections)) {
+            if (c.stuck(now, STUCK_AFTER) || c.doubtful() && c.out() == 0) {
+                c.close();
+            }
+        }
         if (standing.isEmpty()) {
             closeIfUnused();
             return;
--- a/src/test/java/damsonseam/core/RouterTest.java
+++ b/src/test/java/damsonseam/core/RouterTest.java
@@ -32,8 +32,10 @@
                 OptionalDouble.of(3), OptionalDouble.of(1_000), OptionalDouble.of(150), OptionalDouble.of(125),
                 OptionalDouble.of(2_000));
         router = new Router(new RouterSettings(settings, 1_000, 2, 100, 8),
-                (Front.Actions a) -> new Decide(settings, a), new CallTable(1_000, 1), timers, (call, number, deadline) -> { }, this, this, Story.NONE);
-        router.directory(0, 1, true, List.of(new Pool.Server("a", 0, "a:1", 0, State.RUNNING, OptionalDouble.empty())));
+                (Front.Actions act) -> new Decide(settings, act), new CallTable(1_000, 1), timers,
+                (call, number, deadline) -> { }, this, this, Story.NONE);
+        Pool.Server a = new Pool.Server("a", 0, "a:1", 0, State.RUNNING, OptionalDouble.empty());
+        router.directory(0, 1, true, List.of(a));
         turn(1);
     }
 
--- a/src/test/java/damsonseam/node/NodeServerTest.java
+++ b/src/test/java/damsonseam/node/NodeServerTest.java
@@ -271,6 +271,39 @@
         }
     }
 
+    @Test
+    void aConnectionOnWhichASetUpVanishedGetsNoOther() throws Exception {
+        try (NodeRig rig = new NodeRig(1)) {
+            SipSocket dead = rig.accept(0);
+            SipSocket caller = rig.caller();
+            SipMessage lost = rig.invite();
+            caller.send(lost);
+            assertNotNull(dead.next("INVITE"));
+            caller.send(SipMessage.request(SipMessage.CANCEL, lost.target(), lost.callId(), 1));
+            assertEquals(487, caller.next().status());
+            SipMessage next = rig.invite();
+            caller.send(next);
+            SipSocket alive = rig.accept(0);
+            SipMessage out = alive.next("INVITE");
+            assertEquals(next.callId(), out.callId());
+            alive.send(NodeRig.stands(out));
+            assertEquals(200, caller.next().status());
+        }
+    }
+
+    @Test
+    void aConnectionOnWhichHalfAnAnswerStandsIsClosed() throws Exception {
+        try (NodeRig rig = new NodeRig(1)) {
+            SipSocket server = rig.accept(0);
+            SipSocket caller = rig.caller();
+            caller.send(rig.invite());
+            SipMessage out = server.next("INVITE");
+            server.send("SIP/2.0 200 OK\r\nCall-ID: " + out.callId() + "\r\nCSeq: 1 INVITE\r\nContent-Length: 99\r\n");
+            assertNull(server.next("BYE"), "closed");
+            assertEquals(out.callId(), rig.accept(0).next("INVITE").callId());
+        }
+    }
+
     @Test
     void answersThatBelongToNoSetUpArePassedOver() throws Exception {
         try (NodeRig rig = new NodeRig(1)) {
