Module: a reset of a set-up that later ones outlived is no sign that the process died

Checked in its story: at 22.80 s two attempts that had been out for long ended RESET (504) with no answer between them, at a server that answered some 300 calls a second; the next answer revived it as one that had restarted cold, seven set-ups out there were called back, and it got a quarter of its rate for 14 s. Ruled out: lost connections (none had a set-up out), drains, the silent connection mended before. At fault: judge() counted RESET as a bad ending whatever had been answered since the set-up went out, unlike TIMED_OUT beside it.

Now it counts where nothing has been answered since.

--- a/src/main/java/damsonseam/Decide.java
+++ b/src/main/java/damsonseam/Decide.java
@@ -1,6 +1,7 @@
 package damsonseam;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -643,8 +644,11 @@
                 }
             }
             case RESET, UNREACHABLE -> {
-                s.died = true;
-                badEnding(s, now);
+                // A set-up that breaks after later ones were answered broke on its way: the process is alive.
+                if (e.result() == Result.UNREACHABLE || s.answeredAt < now - e.delay()) {
+                    s.died = true;
+                    badEnding(s, now);
+                }
             }
             default -> { }
         }
@@ -709,11 +713,7 @@
     private int rank(Held held, boolean isLate) {
         CallClass c = settings.classes().get(held.callClass);
         double worth = c.worth().orElse(1) * (isLate ? c.lateShare().orElse(0) : 1);
-        int rank = 0;
-        while (rank < worths.length - 1 && worths[rank] < worth) {
-            rank++;
-        }
-        return rank;
+        return Math.max(0, Arrays.binarySearch(worths, worth));
     }
 
     /** Ranks what came since the last moment, and again those that have crossed their aim, either way. */
--- a/src/main/java/damsonseam/node/CallBook.java
+++ b/src/main/java/damsonseam/node/CallBook.java
@@ -13,12 +13,15 @@
 import java.util.Map;
 import java.util.OptionalDouble;
 import org.agrona.collections.Long2ObjectHashMap;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The node's calls by the ids of their callers and of the core. An entry lives from its set-up until its refusal
  * or its release; the core's table bounds those it holds, {@link #MOST_ADOPTED} those that stood before.
  */
 final class CallBook {
+    private static final Logger LOG = LoggerFactory.getLogger(CallBook.class);
     /** Calls taken over from before the start at the most; one more is told that it is over. */
     static final int MOST_ADOPTED = 10_000;
     /** Releases that wait for a connection of their caller at the most, the oldest given up first. */
@@ -87,6 +90,12 @@
         call.offer = null;
         server.standing().add(call);
         call.caller.standing(1);
+        tell(call, "stands");
+    }
+
+    private static void tell(NodeCall call, String what) {
+        LOG.atDebug().addKeyValue("id", call.id).addKeyValue("server", call.standsAt == null ? "" : call.standsAt.id())
+                .log(what);
     }
 
     /** The core's one final answer of a call. */
@@ -142,6 +151,7 @@
     }
 
     private void over(NodeCall call, Result result, Report report) {
+        tell(call, "over: " + result);
         if (call.record != null) {
             router.ended(router.now(), call.record.id(), call.record.attempts() - 1, result, Reason.NONE,
                     OptionalDouble.empty(), report);
@@ -173,6 +183,8 @@
         if (pending.size() >= MOST_PENDING) {
             pending.poll();
         }
+        LOG.atInfo().addKeyValue("id", call.id).addKeyValue("cause", cause).addKeyValue("waiting", pending.size())
+                .log("a release waits for a connection of its caller");
         pending.add(new Pending(call, cause, router.now()));
     }
 
--- a/src/main/java/damsonseam/node/ServerLink.java
+++ b/src/main/java/damsonseam/node/ServerLink.java
@@ -263,6 +263,10 @@
     /** A connection is gone: what was out on it may have run. */
     void disconnected(ServerConnection connection) {
         connections.remove(connection);
+        if (connection.out() > 0) {
+            LOG.atInfo().addKeyValue("server", server.id()).addKeyValue("out", connection.out())
+                    .addKeyValue("others", connections.size()).log("server's connection lost with set-ups out");
+        }
         router.clock(now());
         for (Attempt a : List.copyOf(attempts.values())) {
             if (a.on == connection) {
--- a/src/test/java/damsonseam/DecideTest.java
+++ b/src/test/java/damsonseam/DecideTest.java
@@ -205,6 +205,20 @@
         assertTrue(s.out("a") <= 1);
     }
 
+    @Test
+    void setUpsThatBreakAfterLaterOnesStoodCloseNothing() {
+        Script s = known();
+        long one = s.offer(1, 0);
+        long two = s.offer(1, 0);
+        s.run(5);
+        s.stand(s.offer(0, 0), QUICK);
+        s.end(one, Result.RESET, Reason.NONE);
+        s.end(two, Result.RESET, Reason.NONE);
+        for (int i = 0; i < 4; i++) {
+            assertEquals("a", s.sentTo(s.offer(0, 0)));
+        }
+    }
+
     @Test
     void anOvertakenSetUpIsLostAndTriedAgain() {
         Script s = known();
