Front node: after a connection is lost the next is opened; releases go to those that showed themselves

Checked: the nodes' logs (no release waiting for a caller, no silent server, no error), the code of both closes. Second weakness found on the way: CallBook.release took any connection of the caller's host, and a bad client on that host passes it over.

Now each loss is followed by a new connection, and a release goes to a connection that has sent a set-up that can be used, one with standing calls first. Three tests on loopback.

--- a/src/main/java/damsonseam/node/CallBook.java
+++ b/src/main/java/damsonseam/node/CallBook.java
@@ -188,8 +188,8 @@
         pending.add(new Pending(call, cause, router.now()));
     }
 
-    /** A caller connected: what waits for a connection of its host goes out. */
-    void connected(CallerLink link) {
+    /** A caller of this host has shown itself by a set-up: what waits for a connection to it goes out. */
+    void shown(CallerLink link) {
         double now = router.now();
         for (int left = pending.size(); left > 0; left--) {
             Pending p = pending.poll();
--- a/src/main/java/damsonseam/node/CallerLink.java
+++ b/src/main/java/damsonseam/node/CallerLink.java
@@ -45,6 +45,7 @@
     private int standing;
     private double heardAt;
     private boolean spoke;
+    private boolean shown;
     private boolean unflushed;
 
     CallerLink(CallerListener listener, Channel channel, SipDecoder decoder) {
@@ -59,6 +60,11 @@
         return channel.isActive();
     }
 
+    /** Whether a set-up that can be used ever came: what sends none is no caller, whatever host it shares. */
+    boolean shown() {
+        return shown;
+    }
+
     /** Whether a whole message ever came. */
     boolean spoke() {
         return spoke;
@@ -102,6 +108,10 @@
         channel.close();
     }
 
+    boolean standing() {
+        return standing > 0;
+    }
+
     void standing(int change) {
         standing += change;
     }
@@ -115,9 +125,7 @@
     public void channelActive(ChannelHandlerContext ctx) {
         heardAt = listener.loop().now();
         host = ((InetSocketAddress) channel.remoteAddress()).getAddress();
-        if (listener.connected(this)) {
-            listener.book().connected(this);
-        } else {
+        if (!listener.connected(this)) {
             close();
         }
     }
@@ -201,6 +209,10 @@
             return;
         }
         CallBook book = listener.book();
+        if (!shown) {
+            shown = true;
+            book.shown(this);
+        }
         NodeCall known = book.get(asked.id());
         if (asked.at() != null) {
             stands(asked, message, known, now);
--- a/src/main/java/damsonseam/node/CallerListener.java
+++ b/src/main/java/damsonseam/node/CallerListener.java
@@ -100,11 +100,15 @@
         links.remove(link);
     }
 
-    /** Another connection of the same caller's host, the one heard of last, or null. */
+    /**
+     * Another connection of the same caller's host, or null: the one heard of last, one on which a call stands before
+     * others, as hosts are shared by clients that only knock.
+     */
     CallerLink another(CallerLink of) {
         CallerLink found = null;
         for (CallerLink link : links) {
-            if (link.spoke() && link.usable() && link.sameHost(of)) {
+            boolean fits = link.shown() && link.usable() && link.sameHost(of);
+            if (fits && (found == null || link.standing() || !found.standing())) {
                 found = link;
             }
         }
--- a/src/main/java/damsonseam/node/ServerLink.java
+++ b/src/main/java/damsonseam/node/ServerLink.java
@@ -73,6 +73,8 @@
     /** Releases that wait for a connection. */
     private final ArrayDeque<SipMessage> byes = new ArrayDeque<>();
     private boolean connecting;
+    /** Whether the connection that is being made began before another was lost. */
+    private boolean oneMore;
     private boolean tried;
     private boolean wanted = true;
     private boolean listed = true;
@@ -240,6 +242,10 @@
         for (Attempt a = waiting.poll(); a != null; a = waiting.poll()) {
             send(a, connection);
         }
+        if (oneMore) {
+            oneMore = false;
+            connect();
+        }
         for (SipMessage bye = byes.poll(); bye != null; bye = byes.poll()) {
             connection.send(bye, null);
         }
@@ -280,13 +286,12 @@
             }
             return lost;
         });
-        if (connections.isEmpty()) {
-            if (wanted) {
-                connect();
-            } else {
-                cut(call -> true);
-            }
+        if (connections.isEmpty() && !wanted) {
+            cut(call -> true);
         }
+        // A release may have been on its way here: the server says it again on the next connection that is opened.
+        oneMore = connecting;
+        connect();
         shared.loop().kick();
     }
 
--- a/src/test/java/damsonseam/node/NodeServerTest.java
+++ b/src/test/java/damsonseam/node/NodeServerTest.java
@@ -167,9 +167,12 @@
     void aReleaseFindsAnotherConnectionOfItsCaller() throws Exception {
         try (NodeRig rig = new NodeRig(1)) {
             Standing s = standing(rig);
+            // Of two connections from this host one has only knocked: it is none of a caller.
             SipSocket other = rig.caller();
+            other.send(NodeRig.invite(NodeRig.id(900), "dest:0;width:1;via:-1;at:s-00000000", "0"));
+            rig.caller();
             s.caller.close();
-            Awaitility.await().until(() -> rig.node.callers() == 1);
+            Awaitility.await().until(() -> rig.node.callers() == 2);
             s.server.send(NodeRig.bye(s.invite.callId(), 16));
             assertEquals(s.invite.callId(), other.next("BYE").callId());
         }
@@ -183,8 +186,11 @@
             Awaitility.await().until(() -> rig.node.callers() == 0);
             s.server.send(NodeRig.bye(s.invite.callId(), 16));
             Awaitility.await().until(() -> rig.node.open() == 0);
-            SipSocket other = rig.keep(SipSocket.to(rig.node.address()));
+            SipSocket knocks = rig.caller();
+            SipSocket other = rig.caller();
+            other.send(rig.invite());
             assertEquals(s.invite.callId(), other.next("BYE").callId());
+            assertTrue(knocks.quiet(50));
         }
     }
 
@@ -237,6 +243,24 @@
         }
     }
 
+    @Test
+    void aReleaseLostWithItsConnectionIsHeardOnTheNext() throws Exception {
+        try (NodeRig rig = new NodeRig(1)) {
+            Standing s = standing(rig);
+            // A second set-up while one is out makes the node open a second connection.
+            s.caller.send(rig.invite());
+            assertNotNull(s.server.next("INVITE"));
+            s.caller.send(rig.invite());
+            SipSocket second = rig.accept(0);
+            // The first breaks, with a release on it for all the server knows; the second stays.
+            s.server.reset();
+            SipSocket third = rig.accept(0);
+            third.send(NodeRig.bye(s.invite.callId(), 16));
+            assertEquals(s.invite.callId(), s.caller.next("BYE").callId());
+            assertNotNull(second);
+        }
+    }
+
     @Test
     void callsAtAnAddressThatAnotherServerTakesAreReleased() throws Exception {
         try (NodeRig rig = new NodeRig(1)) {
