Front node: at the limit of connections those without a set-up give way, a newcomer never

Checked with a log line for each close: no connection with a set-up open was ever closed by the node; at the limit of 172 it closed the longest silent or idle one at once for each newcomer, some 600 a second, and what crossed such a close was lost. Ruled out: the end of the node (nothing owed), unread answers, slow readers. At fault: CallerListener.connected, and a limit that left a third of the descriptors unused.

Now the limit is all descriptors that servers and the process do not need; what has brought no set-up gives way after 60 ms, what has after 2 s without a call; while none can, the system's backlog holds newcomers; a node that ends waits until that is read.

--- a/src/main/java/damsonseam/node/CallerLink.java
+++ b/src/main/java/damsonseam/node/CallerLink.java
@@ -28,6 +28,12 @@
     private static final double SILENT_MS = 2_000;
     /** One without an open call after this: callers close theirs sooner, those that forget give room. */
     private static final double IDLE_MS = 10_000;
+    /**
+     * At the limit of connections: the time in which a first set-up arrives and is read, also on part of a core; and
+     * how long one that has brought a set-up is idle before it gives way to another.
+     */
+    private static final double GIVES_WAY_MS = 60;
+    private static final double GIVES_WAY_IDLE_MS = 2_000;
     private static final int BAD_REQUEST = 400;
     private static final int NOT_ALLOWED = 405;
     private static final int NO_CALL = 481;
@@ -65,13 +71,9 @@
         return shown;
     }
 
-    /** Whether a whole message ever came. */
-    boolean spoke() {
-        return spoke;
-    }
-
-    boolean idle() {
-        return open.isEmpty() && standing == 0;
+    /** Whether this connection may be closed for another: it has no call, and had time to bring one. */
+    boolean givesWay(double now) {
+        return open.isEmpty() && standing == 0 && now - heardAt > (shown ? GIVES_WAY_IDLE_MS : GIVES_WAY_MS);
     }
 
     boolean sameHost(CallerLink other) {
@@ -92,7 +94,7 @@
         }
         if (!channel.isWritable()) {
             // Guards the memory against a caller that asks and does not read.
-            close();
+            close("does not read");
             return;
         }
         if (!unflushed) {
@@ -104,7 +106,10 @@
         }
     }
 
-    void close() {
+    /** Closes from this side, for a reason that the log tells. */
+    void close(String why) {
+        LOG.atDebug().addKeyValue("from", String.valueOf(channel.remoteAddress())).addKeyValue("why", why)
+                .addKeyValue("open", open.size()).addKeyValue("standing", standing).log("caller closed");
         channel.close();
     }
 
@@ -125,13 +130,15 @@
     public void channelActive(ChannelHandlerContext ctx) {
         heardAt = listener.loop().now();
         host = ((InetSocketAddress) channel.remoteAddress()).getAddress();
-        if (!listener.connected(this)) {
-            close();
-        }
+        listener.connected(this);
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
+        if (!open.isEmpty()) {
+            LOG.atDebug().addKeyValue("from", String.valueOf(channel.remoteAddress())).addKeyValue("open", open.size())
+                    .log("caller gone with set-ups open");
+        }
         listener.closed(this);
         giveUpAll();
     }
@@ -160,7 +167,7 @@
         if (!(why instanceof java.io.IOException) && !(why instanceof SipFormatException)) {
             LOG.atError().setCause(why).log("a defect met by a caller's message");
         }
-        close();
+        close(why.toString());
     }
 
     // ---- What it says -----------------------------------------------------------------------------------
--- a/src/main/java/damsonseam/node/CallerListener.java
+++ b/src/main/java/damsonseam/node/CallerListener.java
@@ -18,16 +18,16 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
-/**
- * Where callers connect. Connections are bounded: beyond the limit one without an open call gives way, silent
- * ones first, and if there is none the new one is closed.
- */
+/** Where callers connect. Connections are bounded; at the limit those of no use give way. */
 final class CallerListener {
+    private static final Logger LOG = LoggerFactory.getLogger(CallerListener.class);
     /** Octets waiting to be sent beyond which a caller is taken not to read, and is closed. */
     static final int MOST_UNSENT = 256 << 10;
     private static final int BACKLOG = 512;
-    private static final double SWEEP_MS = 250;
+    private static final double SWEEP_MS = 50;
 
     private final Loop loop;
     private final CallSettings settings;
@@ -39,7 +39,7 @@
     private final Set<CallerLink> links = new LinkedHashSet<>();
     private Router router;
     private Channel channel;
-    private long turnedAway;
+    private long gaveWay;
 
     CallerListener(Loop loop, CallSettings settings, CallBook book, ServerLinks servers, int mostConnections,
             BooleanSupplier ready) {
@@ -80,20 +80,39 @@
         return (InetSocketAddress) channel.localAddress();
     }
 
-    /** A connection was accepted; false if there is no room for it. */
-    boolean connected(CallerLink link) {
-        if (links.size() >= mostConnections) {
-            CallerLink idle = links.stream().filter(l -> !l.spoke()).findFirst().orElseGet(
-                    () -> links.stream().filter(CallerLink::idle).findFirst().orElse(null));
-            turnedAway++;
-            if (idle == null) {
-                return false;
+    /** Whether no connection waits for room to be accepted: what came on one has been read. */
+    boolean accepting() {
+        return channel.config().isAutoRead();
+    }
+
+    /** A connection was accepted. */
+    void connected(CallerLink link) {
+        links.add(link);
+        makeRoom(loop.now());
+    }
+
+    /**
+     * Where the limit is reached, connections that have been silent for long enough give way, then those without calls,
+     * the longest ago first. One that has just come is never closed for another, as its first set-up may be on its way:
+     * while none can give way, the next wait with the system.
+     */
+    private void makeRoom(double now) {
+        while (links.size() >= mostConnections) {
+            CallerLink way = links.stream().filter(l -> l.givesWay(now) && !l.shown()).findFirst().orElseGet(
+                    () -> links.stream().filter(l -> l.givesWay(now)).findFirst().orElse(null));
+            if (way == null) {
+                break;
             }
-            links.remove(idle);
-            idle.close();
+            gaveWay++;
+            links.remove(way);
+            way.close("gives way");
+        }
+        boolean room = links.size() < mostConnections;
+        if (channel != null && channel.isActive() && channel.config().isAutoRead() != room) {
+            channel.config().setAutoRead(room);
+            LOG.atInfo().addKeyValue("connections", links.size()).addKeyValue("gaveWay", gaveWay)
+                    .log(room ? "callers are accepted again" : "callers wait to be accepted");
         }
-        links.add(link);
-        return true;
     }
 
     void closed(CallerLink link) {
@@ -128,7 +147,8 @@
                 over.add(link);
             }
         });
-        over.forEach(CallerLink::close);
+        over.forEach(link -> link.close("silent or idle"));
+        makeRoom(now);
         loop.timers().set(now + SWEEP_MS, this::sweep);
     }
 
@@ -169,6 +189,6 @@
 
     void close() {
         stopAccepting();
-        List.copyOf(links).forEach(CallerLink::close);
+        List.copyOf(links).forEach(link -> link.close("node ends"));
     }
 }
--- a/src/main/java/damsonseam/node/NodeServer.java
+++ b/src/main/java/damsonseam/node/NodeServer.java
@@ -37,8 +37,11 @@
     private static final int MOST_HELD = 20_000;
     /** Open calls that a megabyte of memory is given for: one may hold two descriptions of 16 KiB at worst. */
     private static final int CALLS_A_MB = 32;
-    /** Descriptors that the process itself holds: jars, pipes, the selector, the listener, the coordinator. */
-    private static final int OWN_DESCRIPTORS = 40;
+    /** Descriptors that the process itself holds: some 55 jars, pipes, the selector, the listener; and some spare. */
+    private static final int OWN_DESCRIPTORS = 72;
+    /** Connections to all servers at the most, and as a share of the descriptors. */
+    private static final int MOST_SERVER_CONNECTIONS = 96;
+    private static final int SERVERS_SHARE = 6;
     /** After SIGTERM the platform still sends for 0.6 s, and what comes later than 0.7 s is none of this node's. */
     private static final double LINGER_MS = 900;
     private static final double MOST_LINGER_MS = 3_500;
@@ -61,11 +64,12 @@
         loop = new Loop((EventLoop) group.next(), BEAT);
         Settings module = config.settings().settings(config.seed());
         CallSettings calls = new CallSettings(config.settings());
-        // Callers may take a third of the descriptors; some more are room for those that give way.
-        int half = (config.sockets() - OWN_DESCRIPTORS) / 2;
+        int links = Math.min(MOST_SERVER_CONNECTIONS, config.sockets() / SERVERS_SHARE);
         servers = new ServerLinks(loop, book, calls.reports(),
-                config.settings().connectTimeout().orElse(CONNECT_TIMEOUT), half / 2);
-        callers = new CallerListener(loop, calls, book, servers, half, this::ready);
+                config.settings().connectTimeout().orElse(CONNECT_TIMEOUT), links);
+        // Callers may take a third of the descriptors; all that is left is room for those that only knock.
+        callers = new CallerListener(loop, calls, book, servers, config.sockets() - OWN_DESCRIPTORS - links,
+                this::ready);
         coordinator = new CoordinatorClient(loop, servers, config.coordinator());
         int most = Math.min(config.settings().mostHeld().orElse(MOST_HELD),
                 config.memoryMb() > 0 ? config.memoryMb() * CALLS_A_MB : MOST_HELD);
@@ -129,7 +133,7 @@
             ending = true;
             return loop.now();
         });
-        while (loop.now() - from < LINGER_MS || loop.now() - from < MOST_LINGER_MS && owed() > 0) {
+        while (loop.now() - from < LINGER_MS || loop.now() - from < MOST_LINGER_MS && !settled()) {
             Thread.sleep(POLL_MS);
         }
         LOG.atInfo().addKeyValue("node", config.name()).addKeyValue("owed", owed())
@@ -137,6 +141,11 @@
         close();
     }
 
+    /** Whether nothing is owed, and nothing that a caller has sent waits to be read. */
+    private boolean settled() {
+        return call(() -> router.owed() == 0 && callers.accepting());
+    }
+
     private int owed() {
         return call(() -> router.owed());
     }
