Front node: a release finds a connection with standing calls, a stranger's claim is passed over

Checked: the code of each way a release can take, the nodes' log (no release had waited, no silent server). Two ways lead to a client that does not care: a set-up with 'at' and the id of a call in use took its release over from a living connection, and with the first connection gone only the same host's were looked at, of which bad clients have many.

Now a claim counts only when the first connection has gone; a release goes to a connection with standing calls first; one that waits goes out with the next call that stands. A node that ends no longer counts its standing calls as cut. Test on loopback.

--- a/src/main/java/damsonseam/node/CallBook.java
+++ b/src/main/java/damsonseam/node/CallBook.java
@@ -84,13 +84,16 @@
         return true;
     }
 
-    private static void stands(NodeCall call, ServerLink server, double now) {
+    private void stands(NodeCall call, ServerLink server, double now) {
         call.standsAt = server;
         call.stoodAt = now;
         call.offer = null;
         server.standing().add(call);
         call.caller.standing(1);
         tell(call, "stands");
+        if (!pending.isEmpty()) {
+            shown(call.caller);
+        }
     }
 
     private static void tell(NodeCall call, String what) {
@@ -188,12 +191,12 @@
         pending.add(new Pending(call, cause, router.now()));
     }
 
-    /** A caller of this host has shown itself by a set-up: what waits for a connection to it goes out. */
+    /** A caller has shown itself, by a set-up or by a call that stands: what waits for it goes out. */
     void shown(CallerLink link) {
         double now = router.now();
         for (int left = pending.size(); left > 0; left--) {
             Pending p = pending.poll();
-            if (now - p.at <= PENDING_MS && !link.sameHost(p.call.caller)) {
+            if (now - p.at <= PENDING_MS && !link.sameHost(p.call.caller) && !link.standing()) {
                 pending.add(p);
             } else if (now - p.at <= PENDING_MS) {
                 link.send(bye(p.call, p.cause), null);
--- a/src/main/java/damsonseam/node/CallerLink.java
+++ b/src/main/java/damsonseam/node/CallerLink.java
@@ -249,7 +249,8 @@
     /** A call that stands already: from now on its release goes to this connection. */
     private void stands(SetUp asked, SipMessage message, NodeCall known, double now) {
         if (known != null) {
-            if (known.standsAt != null && known.standsAt.id().equals(asked.at())) {
+            // Taken over from a connection that has gone only: who merely knows an id does not get its release.
+            if (known.standsAt != null && known.standsAt.id().equals(asked.at()) && !known.caller.usable()) {
                 known.caller.standing(-1);
                 known.caller = this;
                 standing(1);
--- a/src/main/java/damsonseam/node/CallerListener.java
+++ b/src/main/java/damsonseam/node/CallerListener.java
@@ -120,15 +120,18 @@
     }
 
     /**
-     * Another connection of the same caller's host, or null: the one heard of last, one on which a call stands before
-     * others, as hosts are shared by clients that only knock.
+     * Another connection that a release may take, or null. No connection owns a call, and callers need not come from
+     * one host: one on which a call stands is a caller's for sure, as nobody else is ever given one; of these, one of
+     * the same host before others. Else one of the same host that has sent a set-up. Of equals the one heard of last.
      */
     CallerLink another(CallerLink of) {
         CallerLink found = null;
+        int best = 1;
         for (CallerLink link : links) {
-            boolean fits = link.shown() && link.usable() && link.sameHost(of);
-            if (fits && (found == null || link.standing() || !found.standing())) {
+            int fits = !link.usable() || !link.shown() ? 0 : (link.standing() ? 2 : 0) + (link.sameHost(of) ? 1 : 0);
+            if (fits >= best) {
                 found = link;
+                best = fits;
             }
         }
         return found;
--- a/src/main/java/damsonseam/node/ServerLink.java
+++ b/src/main/java/damsonseam/node/ServerLink.java
@@ -589,8 +589,10 @@
         }
     }
 
+    /** Ends with the node: what stands at the server goes on without it. */
     void close() {
         wanted = false;
+        standing.clear();
         List.copyOf(connections).forEach(ServerConnection::close);
     }
 }
--- a/src/test/java/damsonseam/node/NodeServerTest.java
+++ b/src/test/java/damsonseam/node/NodeServerTest.java
@@ -178,6 +178,19 @@
         }
     }
 
+    @Test
+    void aStrangerWhoKnowsAnIdDoesNotGetItsRelease() throws Exception {
+        try (NodeRig rig = new NodeRig(1)) {
+            Standing s = standing(rig);
+            SipSocket stranger = rig.caller();
+            stranger.send(NodeRig.invite(s.invite.callId(), "dest:0;width:1;via:-1;at:s-00000000", "0"));
+            assertTrue(stranger.quiet(50));
+            s.server.send(NodeRig.bye(s.invite.callId(), 16));
+            assertEquals(s.invite.callId(), s.caller.next("BYE").callId());
+            assertTrue(stranger.quiet(50));
+        }
+    }
+
     @Test
     void aReleaseWaitsForTheNextConnectionOfItsCaller() throws Exception {
         try (NodeRig rig = new NodeRig(1)) {
