Front node: the late answer of a given-up attempt does not cut the call's next one

Read through again: each place where the node sends a release to a server. At fault: ServerLink.late released, by the call's id, an attempt whose answer crossed its give-up, also when the call's next attempt was out or stood at the same server by then; the server cuts that one, and says nothing more, as the release came from the node, so its caller was never told. Bad clients and bad peers make late answers and second attempts. The test fails without the change. Also: a call whose answer could not be written is released towards its caller too.

--- a/src/main/java/damsonseam/node/CallBook.java
+++ b/src/main/java/damsonseam/node/CallBook.java
@@ -116,6 +116,7 @@
                 // The answer can't reach its caller any more: nobody is at this call.
                 if (!sent && byId.get(call.id) == call && call.caller == caller) {
                     hangUp(call);
+                    release(call, NORMAL_CLEARING);
                 }
             });
             return;
--- a/src/main/java/damsonseam/node/ServerLink.java
+++ b/src/main/java/damsonseam/node/ServerLink.java
@@ -491,12 +491,18 @@
         String target = givenUp.remove(key);
         if (target != null) {
             on.send(SipMessage.request(SipMessage.ACK, target, message.callId(), message.cseqNumber()), null);
-            if (message.status() < 300) {
+            // The call's next attempt may be out or stand here by now: a release names the call and would cut it.
+            if (message.status() < 300 && !hasAttempt(message.callId())) {
                 bye(message.callId(), target);
             }
         }
     }
 
+    private boolean hasAttempt(String id) {
+        NodeCall call = shared.book().get(id);
+        return call != null && (call.standsAt == this || attempts.values().stream().anyMatch(a -> a.of == call));
+    }
+
     private static Result result(int status) {
         return switch (status) {
             case 503 -> Result.FULL;
--- a/src/test/java/damsonseam/node/NodeServerTest.java
+++ b/src/test/java/damsonseam/node/NodeServerTest.java
@@ -308,6 +308,32 @@
         }
     }
 
+    @Test
+    void theLateAnswerOfAGivenUpAttemptDoesNotCutTheNextOne() throws Exception {
+        try (NodeRig rig = new NodeRig(1)) {
+            SipSocket server = rig.accept(0);
+            SipSocket caller = rig.caller();
+            SipMessage call = rig.invite();
+            caller.send(call);
+            SipMessage first = server.next("INVITE");
+            assertTrue(caller.quiet(60));
+            // A later set-up is answered: the first counts as lost, is given up, and goes out again after the guard.
+            caller.send(rig.invite());
+            server.send(NodeRig.stands(server.next("INVITE")));
+            assertEquals(200, caller.next().status());
+            assertEquals(call.callId(), server.next("CANCEL").callId());
+            SipMessage second = server.next("INVITE");
+            assertEquals(call.callId(), second.callId());
+            assertEquals(2, second.cseqNumber());
+            server.send(NodeRig.stands(first));
+            server.send(NodeRig.stands(second));
+            assertEquals(call.callId(), caller.next().callId());
+            assertEquals(SipMessage.ACK, server.next().method());
+            assertEquals(SipMessage.ACK, server.next().method(), "no release that cuts the next attempt");
+            assertTrue(server.quiet(100), "a release that cuts the call that stands");
+        }
+    }
+
     @Test
     void aConnectionOnWhichASetUpVanishedGetsNoOther() throws Exception {
         try (NodeRig rig = new NodeRig(1)) {
