--- a/src/test/java/damsonseam/node/NodeServerTest.java
+++ b/src/test/java/damsonseam/node/NodeServerTest.java
@@ -331,6 +331,8 @@
             assertEquals(SipMessage.ACK, server.next().method());
             assertEquals(SipMessage.ACK, server.next().method(), "no release that cuts the next attempt");
             assertTrue(server.quiet(100), "a release that cuts the call that stands");
+            // The node made a second connection when both set-ups were out.
+            assertTrue(rig.accept(0).quiet(100), "a release that cuts the call that stands");
         }
     }
 
