--- a/src/main/java/damsonseam/node/CallBook.java
+++ b/src/main/java/damsonseam/node/CallBook.java
@@ -180,6 +180,8 @@
     /** Tells a caller that its call is over, on another of its connections where the first has gone. */
     void release(NodeCall call, int cause) {
         CallerLink link = call.caller != null && call.caller.usable() ? call.caller : callers.another(call.caller);
+        LOG.atDebug().addKeyValue("id", call.id).addKeyValue("to", String.valueOf(link))
+                .addKeyValue("own", link == call.caller).log("release");
         if (link != null) {
             link.send(bye(call, cause), null);
             return;
--- a/src/main/java/damsonseam/node/CallerLink.java
+++ b/src/main/java/damsonseam/node/CallerLink.java
@@ -117,6 +117,11 @@
         return standing > 0;
     }
 
+    @Override
+    public String toString() {
+        return String.valueOf(channel.remoteAddress());
+    }
+
     void standing(int change) {
         standing += change;
     }
--- a/src/main/java/damsonseam/node/NodeServer.java
+++ b/src/main/java/damsonseam/node/NodeServer.java
@@ -46,6 +46,8 @@
     private static final double LINGER_MS = 900;
     private static final double MOST_LINGER_MS = 3_500;
     private static final int POLL_MS = 10;
+    /** A pause of the loop that the log tells of: callers and the module's estimates feel it. */
+    private static final double PAUSE_MS = 250;
 
     private final NodeConfig config;
     private final MultiThreadIoEventLoopGroup group;
@@ -55,6 +57,7 @@
     private final CallerListener callers;
     private final CoordinatorClient coordinator;
     private final Router router;
+    private double beatAt;
     private boolean ending;
     private boolean closed;
 
@@ -100,7 +103,7 @@
             callers.start(router);
             coordinator.start(router, config.known());
             coordinator.follow();
-            loop.start(() -> router.beat(loop.now()), () -> router.settle(loop.now()));
+            loop.start(this::beat, () -> router.settle(loop.now()));
             loop.kick();
             return null;
         });
@@ -109,6 +112,15 @@
                 .addKeyValue("servers", config.known().size()).log("front node started");
     }
 
+    private void beat() {
+        double now = loop.now();
+        if (now - beatAt > PAUSE_MS && beatAt > 0) {
+            LOG.atInfo().addKeyValue("ms", Math.round(now - beatAt)).log("stood still");
+        }
+        beatAt = now;
+        router.beat(now);
+    }
+
     private boolean ready() {
         return !ending && servers.ready();
     }
--- a/src/main/java/damsonseam/node/ServerLink.java
+++ b/src/main/java/damsonseam/node/ServerLink.java
@@ -403,6 +403,7 @@
 
     /** Sends the release of a call that stands. */
     void bye(String id, String target) {
+        LOG.atDebug().addKeyValue("id", id).addKeyValue("server", server.id()).log("released by the node");
         SipMessage bye = SipMessage.request(SipMessage.BYE, target, id, 2).with(SipHeaders.REASON, "Q.850;cause=16");
         ServerConnection on = best(true);
         if (on != null) {
@@ -525,6 +526,8 @@
     private void released(SipMessage message, Report report) {
         NodeCall call = shared.book().get(String.valueOf(message.callId()));
         if (call == null) {
+            LOG.atDebug().addKeyValue("id", String.valueOf(message.callId())).addKeyValue("server", server.id())
+                    .log("release of no call here");
             return;
         }
         String reason = String.valueOf(message.headers().get(SipHeaders.REASON));
