Front node: the release of a broken attempt does not end the call's next one

Found by that and by reading: a set-up whose answer is spoilt has run; its server releases it later under the id of the call, and ServerLink.released took that for the release of the next attempt at the same server, standing or out: the caller was told too early and never again, or an attempt that was out counted as reset. Now the two are told apart by the connection of the set-up while that is open. The test fails without the change (503 for 200). Also: what was written to a caller is flushed before the node closes.

--- a/src/main/java/damsonseam/node/CallerLink.java
+++ b/src/main/java/damsonseam/node/CallerLink.java
@@ -110,6 +110,7 @@
     void close(String why) {
         LOG.atDebug().addKeyValue("from", String.valueOf(channel.remoteAddress())).addKeyValue("why", why)
                 .addKeyValue("open", open.size()).addKeyValue("standing", standing).log("caller closed");
+        channel.flush();
         channel.close();
     }
 
--- a/src/main/java/damsonseam/node/NodeCall.java
+++ b/src/main/java/damsonseam/node/NodeCall.java
@@ -31,6 +31,10 @@
     CallRecord record;
     /** The server whose answer the core is being told of, else null. */
     ServerLink answering;
+    /** Where an attempt broke or was given up last: it may run there all the same, under the same id. */
+    ServerLink brokeAt;
+    /** The connection that brought the answer; its server says the release there, too. */
+    ServerConnection standsOn;
     /** The server at which it stands, else null. */
     ServerLink standsAt;
     /** When it began to stand, on the node's clock. */
--- a/src/main/java/damsonseam/node/ServerLink.java
+++ b/src/main/java/damsonseam/node/ServerLink.java
@@ -276,6 +276,7 @@
         router.clock(now());
         for (Attempt a : List.copyOf(attempts.values())) {
             if (a.on == connection) {
+                a.of.brokeAt = this;
                 end(a, Result.RESET, Reason.NONE, Report.NONE);
             }
         }
@@ -378,6 +379,7 @@
         }
         attempt.on.out(-1);
         attempt.on.givenUp(attempt.sentAt);
+        attempt.of.brokeAt = this;
         givenUp.put(attempt.key(), attempt.of.target);
         attempt.on.send(SipMessage.request(SipMessage.CANCEL, attempt.of.target, id, number + 1), sent -> {
             router.released(now(), call, number);
@@ -437,7 +439,7 @@
             router.probed(now, server.id(), false, true, 0, report);
         } else if (message.method().equals(SipMessage.BYE)) {
             on.send(SipMessage.answer(SipMessage.OK, "OK", message.callId(), message.cseq()), null);
-            released(message, report);
+            released(on, message, report);
         }
         shared.loop().kick();
     }
@@ -478,6 +480,7 @@
         call.answer = message.body();
         call.answerType = message.headers().get("Content-Type");
         call.answering = this;
+        call.standsOn = on;
         router.stands(now, attempt.call, attempt.number, report);
         call.answering = null;
         if (call.standsAt == null) {
@@ -523,7 +526,11 @@
         };
     }
 
-    private void released(SipMessage message, Report report) {
+    /**
+     * An attempt that broke may have run, and its release bears the same id as that of the call's next attempt at the
+     * same server: the one that stands, or is out, is told from it by its connection, while that is open.
+     */
+    private void released(ServerConnection on, SipMessage message, Report report) {
         NodeCall call = shared.book().get(String.valueOf(message.callId()));
         if (call == null) {
             LOG.atDebug().addKeyValue("id", String.valueOf(message.callId())).addKeyValue("server", server.id())
@@ -532,13 +539,16 @@
         }
         String reason = String.valueOf(message.headers().get(SipHeaders.REASON));
         if (call.standsAt == this) {
+            if (call.brokeAt == this && call.standsOn != on && call.standsOn.usable()) {
+                return;
+            }
             boolean tidy = reason.replace(" ", "").endsWith("cause=" + CallBook.NORMAL_CLEARING);
             shared.book().ended(call, tidy ? Result.COMPLETED : Result.RESET, report);
             closeIfUnused();
             return;
         }
         for (Attempt a : List.copyOf(attempts.values())) {
-            if (a.of == call) {
+            if (a.of == call && a.on == on) {
                 end(a, Result.RESET, Reason.NONE, report);
             }
         }
--- a/src/test/java/damsonseam/node/NodeServerTest.java
+++ b/src/test/java/damsonseam/node/NodeServerTest.java
@@ -369,6 +369,32 @@
         }
     }
 
+    @Test
+    void theReleaseOfABrokenAttemptDoesNotEndTheNextOne() throws Exception {
+        try (NodeRig rig = new NodeRig(1)) {
+            SipSocket broken = rig.accept(0);
+            SipSocket caller = rig.caller();
+            SipMessage call = rig.invite();
+            caller.send(call);
+            assertNotNull(broken.next("INVITE"));
+            broken.send("SIP/2.0 200 OK\r\nContent-Length: -1\r\n\r\n");
+            assertNull(broken.next("BYE"));
+            SipSocket next = rig.accept(0);
+            SipMessage second = next.next("INVITE");
+            // One more set-up while that is out makes the node open another connection.
+            caller.send(rig.invite());
+            SipSocket other = rig.accept(0);
+            other.send(NodeRig.bye(call.callId(), 16));
+            assertTrue(caller.quiet(100));
+            next.send(NodeRig.stands(second));
+            assertEquals(200, caller.next().status());
+            other.send(NodeRig.bye(call.callId(), 16));
+            assertTrue(caller.quiet(100), "the release of the attempt that broke");
+            next.send(NodeRig.bye(call.callId(), 16));
+            assertEquals(call.callId(), caller.next("BYE").callId());
+        }
+    }
+
     @Test
     void answersThatBelongToNoSetUpArePassedOver() throws Exception {
         try (NodeRig rig = new NodeRig(1)) {
