--- a/src/main/java/damsonseam/cli/NodeCommand.java
+++ b/src/main/java/damsonseam/cli/NodeCommand.java
@@ -42,11 +42,11 @@
         Path config = Path.of(file);
         // First of all: a signal that comes during the start must not end the process.
         Signal.handle(new Signal("HUP"), s -> reload(config, running.get()));
-        // The story of each call costs as much as the call: it is told where DEBUG is asked for.
+        // The story of each call costs as much as the call: it is told where TRACE is asked for.
         Level level = Level.toLevel(System.getenv("DAMSONSEAM_LOG"), Level.INFO);
         Logging.configure(null, level);
         ((ch.qos.logback.classic.Logger) LoggerFactory.getLogger(CallLog.NAME))
-                .setLevel(level.isGreaterOrEqual(Level.INFO) ? Level.WARN : level);
+                .setLevel(level.isGreaterOrEqual(Level.DEBUG) ? Level.WARN : Level.INFO);
         try {
             NodeServer node = NodeServer.start(NodeConfig.read(config));
             running.set(node);
