Front node: attempts, releases, watches and the end keep to what the sockets have said

The node stopped waiting 3.5 s after SIGTERM, closed every connection in the same moment, with octets unread, and answered nothing of what was still out (NodeServer.drain, close).

- Shutdown: the end is a sequence on the loop.
What is owed 0.45 s before the platform may kill is given up and answered; callers are told that nothing more comes and read to their end, as a close with unread octets is a reset.
- A set-up goes out when the sockets have been read once more after the decision (Loop.afterReads, ServerLink.place): a close, reset, half-close or list that was there already counts first.
Its connection may go before it does.
- Releases: the 200 of the caller proves one.
One whose connection ends unproved is said again at once, else after 300 ms on another connection, three times at the most.
What a server released before its caller named the call, or a caller names after its end, is released to that caller.
- Coordinator: one watch or backoff at a time whoever asks, jitter from the seed, 'nothing new' ahead of ours is a gap.
- Signals from the first moment on; a reload during the start is done after it.
- Accepts: four a turn; a failed accept waits 50 ms and not a second; descriptors for servers grow with the list.

The rig compares the node's tables with each other at the end of each test.

--- a/src/main/java/damsonseam/cli/NodeCommand.java
+++ b/src/main/java/damsonseam/cli/NodeCommand.java
@@ -9,7 +9,6 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
-import java.util.concurrent.atomic.AtomicReference;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import picocli.CommandLine.Command;
@@ -38,19 +37,26 @@
             System.err.println("damsonseam: NODE_CONFIG names no file");
             return Commands.USAGE;
         }
-        AtomicReference<NodeServer> running = new AtomicReference<>();
+        // First of all: a signal that comes during the start must neither end the process nor be lost.
+        Signals signals = new Signals();
+        Signal.handle(new Signal("HUP"), s -> signals.reload());
+        Signal.handle(new Signal("TERM"), s -> signals.end());
+        Signal.handle(new Signal("INT"), s -> signals.end());
         Path config = Path.of(file);
-        // First of all: a signal that comes during the start must not end the process.
-        Signal.handle(new Signal("HUP"), s -> reload(config, running.get()));
         // The story of each call costs as much as the call: it is told where TRACE is asked for.
         Level level = Level.toLevel(System.getenv("DAMSONSEAM_LOG"), Level.INFO);
         Logging.configure(null, level);
         ((ch.qos.logback.classic.Logger) LoggerFactory.getLogger(CallLog.NAME))
                 .setLevel(level.isGreaterOrEqual(Level.DEBUG) ? Level.WARN : Level.INFO);
         try {
+            if (signals.ended()) {
+                return Commands.FINE; // Nobody has been able to connect.
+            }
             NodeServer node = NodeServer.start(NodeConfig.read(config));
-            running.set(node);
-            Until.signalOr(0, node::drain);
+            signals.running(() -> reload(config, node));
+            signals.awaitEnd();
+            node.drain();
+            Logging.flush();
         } catch (SettingsException e) {
             System.err.println("damsonseam: " + e.getMessage());
             return Commands.USAGE;
@@ -66,9 +72,7 @@
         Logger log = LoggerFactory.getLogger(NodeCommand.class);
         try {
             NodeConfig news = NodeConfig.read(config);
-            if (node != null) {
-                node.reload(news);
-            }
+            node.reload(news);
         } catch (SettingsException e) {
             log.atError().addKeyValue("why", e.getMessage()).log("the new configuration can't be used, the old stays");
         }
--- a/src/main/java/damsonseam/core/Router.java
+++ b/src/main/java/damsonseam/core/Router.java
@@ -481,6 +481,26 @@
 
     // ---- Reports ----------------------------------------------------------------------------------------
 
+    /**
+     * The front ends before its callers' time is up: no call is taken any more, and all that are owed an answer get it
+     * now. Those that are held were never sent on and are refused, an attempt that is out is given up and its call
+     * fails.
+     */
+    public void giveUpAll(double at) {
+        clock(at);
+        draining = true;
+        for (CallRecord call : List.copyOf(calls.all())) {
+            if (call.phase() == Phase.TRYING && call.out()) {
+                leave(call, Result.CANCELLED);
+                finish(call, FinalAnswer.failed("front is closing"));
+            } else if (call.phase() != Phase.STANDING && call.phase() != Phase.OVER) {
+                module.left(now, call.id());
+                finish(call, FinalAnswer.refused(settings.module().maxReturnAdvice().orElse(0), "front is closing"));
+            }
+        }
+        heard();
+    }
+
     /** From now on no call is taken; those open are ended as usual. */
     public void drain() {
         draining = true;
--- a/src/main/java/damsonseam/loop/Loop.java
+++ b/src/main/java/damsonseam/loop/Loop.java
@@ -10,6 +10,11 @@
  * the loop has read what there was. {@link #kick} asks for that once a turn, however many events came.
  */
 public final class Loop {
+    /** A turn longer than this may have kept the sockets unread for too long. */
+    private static final long LONG_TURN_NS = 10_000_000;
+    /** Further turns that something waits for at the most while turns are long. */
+    private static final int MOST_TURNS = 3;
+
     private final EventLoop eventLoop;
     private final double beat;
     private final long origin = System.nanoTime();
@@ -64,6 +69,27 @@
         }
     }
 
+    /**
+     * Runs something once the sockets have been read again: what had come before a decision, but was not read when it
+     * was made, then counts before the decision is carried out. Where this turn or the next is a long one, the sockets
+     * are read once more, some turns at the most.
+     */
+    public void afterReads(Runnable what) {
+        afterReads(what, MOST_TURNS);
+    }
+
+    private void afterReads(Runnable what, int turns) {
+        long asked = System.nanoTime();
+        // A task scheduled by a task is fetched in the next turn, behind its reads.
+        eventLoop.execute(() -> eventLoop.schedule(() -> {
+            if (turns > 0 && System.nanoTime() - asked > LONG_TURN_NS) {
+                afterReads(what, turns - 1);
+            } else {
+                what.run();
+            }
+        }, 0, TimeUnit.NANOSECONDS));
+    }
+
     /** Ends the beat. */
     public void stop() {
         if (beats != null) {
--- a/src/main/java/damsonseam/node/CallBook.java
+++ b/src/main/java/damsonseam/node/CallBook.java
@@ -6,10 +6,9 @@
 import damsonseam.core.CallRecord;
 import damsonseam.core.FinalAnswer;
 import damsonseam.core.Router;
-import damsonseam.sip.SipHeaders;
 import damsonseam.sip.SipMessage;
-import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.OptionalDouble;
 import org.agrona.collections.Long2ObjectHashMap;
@@ -24,28 +23,42 @@
     private static final Logger LOG = LoggerFactory.getLogger(CallBook.class);
     /** Calls taken over from before the start at the most; one more is told that it is over. */
     static final int MOST_ADOPTED = 10_000;
-    /** Releases that wait for a connection of their caller at the most, the oldest given up first. */
-    private static final int MOST_PENDING = 2_000;
-    /** How long such a release is kept: beyond what the platform still takes. */
-    private static final double PENDING_MS = 8_000;
+    /** Calls known to be over that are kept, in case a caller still names one as standing, and for how long. */
+    private static final int MOST_OVER = 2_000;
+    private static final double OVER_MS = 8_000;
     /** Q.850: the call came to its end; temporary failure, by which a cut call is told. */
     static final int NORMAL_CLEARING = 16;
     static final int TEMPORARY_FAILURE = 41;
     private static final int TURNED_AWAY = 503;
     private static final int FAILED = 500;
 
-    private record Pending(NodeCall call, int cause, double at) { }
+    /** The end of a call at a server, of one that this node has not been told of, too. */
+    private record Over(String server, int cause, double at) { }
 
     private final Map<String, NodeCall> byId = new HashMap<>();
     private final Long2ObjectHashMap<NodeCall> byRecord = new Long2ObjectHashMap<>();
-    private final ArrayDeque<Pending> pending = new ArrayDeque<>();
+    private final Map<String, Over> ended = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Over> eldest) {
+            return size() > MOST_OVER;
+        }
+    };
+    private final Releases releases;
     private Router router;
-    private CallerListener callers;
     private int adopted;
 
-    void start(Router router, CallerListener callers) {
+    CallBook(Releases releases) {
+        this.releases = releases;
+    }
+
+    void start(Router router) {
         this.router = router;
-        this.callers = callers;
+    }
+
+    Releases releases() {
+        return releases;
     }
 
     NodeCall get(String id) {
@@ -60,6 +73,12 @@
         return byId.size();
     }
 
+    /** Calls that stand, by the connections of their callers, each counted once. */
+    int named() {
+        return byId.values().stream().filter(c -> c.standsAt != null).map(c -> c.caller).distinct()
+                .mapToInt(CallerLink::standingCalls).sum();
+    }
+
     /** Enters a call before the core is told of it, which may answer it at once. */
     void add(NodeCall call) {
         byId.put(call.id, call);
@@ -73,15 +92,28 @@
         }
     }
 
-    /** Takes over a call that stands at a server already; false where there is no room. */
-    boolean adopt(NodeCall call, ServerLink server, double now) {
-        if (adopted >= MOST_ADOPTED) {
-            return false;
+    /**
+     * Takes over a call that stands at a server already. It may be over all the same: its release came first of all on
+     * the connection that this node opened, or crosses its caller's word. Then, and where there is no room, its caller
+     * is told.
+     */
+    void adopt(NodeCall call, ServerLink server, double now) {
+        Over over = ended.get(call.id);
+        if (over != null && over.server.equals(server.id()) && now - over.at <= OVER_MS) {
+            releases.say(call, over.cause);
+        } else if (adopted >= MOST_ADOPTED) {
+            releases.say(call, TEMPORARY_FAILURE);
+        } else {
+            adopted++;
+            byId.put(call.id, call);
+            stands(call, server, now);
         }
-        adopted++;
-        byId.put(call.id, call);
-        stands(call, server, now);
-        return true;
+    }
+
+    /** A call is over at a server, perhaps one that its caller is yet to name here. */
+    void endedAt(String server, String id, int cause) {
+        ended.remove(id);
+        ended.put(id, new Over(server, cause, router.now()));
     }
 
     private void stands(NodeCall call, ServerLink server, double now) {
@@ -91,9 +123,7 @@
         server.standing().add(call);
         call.caller.standing(1);
         tell(call, "stands");
-        if (!pending.isEmpty()) {
-            shown(call.caller);
-        }
+        releases.shown(call.caller);
     }
 
     private static void tell(NodeCall call, String what) {
@@ -116,7 +146,7 @@
                 // The answer can't reach its caller any more: nobody is at this call.
                 if (!sent && byId.get(call.id) == call && call.caller == caller) {
                     hangUp(call);
-                    release(call, NORMAL_CLEARING);
+                    releases.say(call, NORMAL_CLEARING);
                 }
             });
             return;
@@ -144,17 +174,19 @@
     /** The caller's side ends a call that stands. */
     void hangUp(NodeCall call) {
         ServerLink server = call.standsAt;
-        over(call, Result.CANCELLED, Report.NONE);
+        over(call, Result.CANCELLED, Report.NONE, NORMAL_CLEARING);
         server.bye(call.id, call.target);
     }
 
     /** A call that stood is over by its server's word or with its server; its caller is told. */
     void ended(NodeCall call, Result result, Report report) {
-        over(call, result, report);
-        release(call, result == Result.COMPLETED ? NORMAL_CLEARING : TEMPORARY_FAILURE);
+        int cause = result == Result.COMPLETED ? NORMAL_CLEARING : TEMPORARY_FAILURE;
+        over(call, result, report, cause);
+        releases.say(call, cause);
     }
 
-    private void over(NodeCall call, Result result, Report report) {
+    private void over(NodeCall call, Result result, Report report, int cause) {
+        endedAt(call.standsAt.id(), call.id, cause);
         tell(call, "over: " + result);
         if (call.record != null) {
             router.ended(router.now(), call.record.id(), call.record.attempts() - 1, result, Reason.NONE,
@@ -176,39 +208,4 @@
             }
         }
     }
-
-    /** Tells a caller that its call is over, on another of its connections where the first has gone. */
-    void release(NodeCall call, int cause) {
-        CallerLink link = call.caller != null && call.caller.usable() ? call.caller : callers.another(call.caller);
-        LOG.atDebug().addKeyValue("id", call.id).addKeyValue("to", String.valueOf(link))
-                .addKeyValue("own", link == call.caller).log("release");
-        if (link != null) {
-            link.send(bye(call, cause), null);
-            return;
-        }
-        if (pending.size() >= MOST_PENDING) {
-            pending.poll();
-        }
-        LOG.atInfo().addKeyValue("id", call.id).addKeyValue("cause", cause).addKeyValue("waiting", pending.size())
-                .log("a release waits for a connection of its caller");
-        pending.add(new Pending(call, cause, router.now()));
-    }
-
-    /** A caller has shown itself, by a set-up or by a call that stands: what waits for it goes out. */
-    void shown(CallerLink link) {
-        double now = router.now();
-        for (int left = pending.size(); left > 0; left--) {
-            Pending p = pending.poll();
-            if (now - p.at <= PENDING_MS && !link.sameHost(p.call.caller) && !link.standing()) {
-                pending.add(p);
-            } else if (now - p.at <= PENDING_MS) {
-                link.send(bye(p.call, p.cause), null);
-            }
-        }
-    }
-
-    private static SipMessage bye(NodeCall call, int cause) {
-        return SipMessage.request(SipMessage.BYE, call.target, call.id, 2)
-                .with(SipHeaders.REASON, "Q.850;cause=" + cause);
-    }
 }
--- a/src/main/java/damsonseam/node/CallerLink.java
+++ b/src/main/java/damsonseam/node/CallerLink.java
@@ -6,10 +6,11 @@
 import damsonseam.sip.SipEncoder;
 import damsonseam.sip.SipFormatException;
 import damsonseam.sip.SipMessage;
-import io.netty.channel.Channel;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.DecoderException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -42,7 +43,7 @@
     private static final int UNAVAILABLE = 503;
 
     private final CallerListener listener;
-    private final Channel channel;
+    private final SocketChannel channel;
     private final SipDecoder decoder;
     /** Set-ups of this connection that are not answered yet; the core's table bounds all of them. */
     private final Set<NodeCall> open = new HashSet<>();
@@ -54,7 +55,7 @@
     private boolean shown;
     private boolean unflushed;
 
-    CallerLink(CallerListener listener, Channel channel, SipDecoder decoder) {
+    CallerLink(CallerListener listener, SocketChannel channel, SipDecoder decoder) {
         this.listener = listener;
         this.channel = channel;
         this.decoder = decoder;
@@ -114,6 +115,11 @@
         channel.close();
     }
 
+    /** Says that nothing more comes, behind all that was said, and reads on until the caller closes. */
+    void finish() {
+        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> channel.shutdownOutput());
+    }
+
     boolean standing() {
         return standing > 0;
     }
@@ -123,6 +129,10 @@
         return String.valueOf(channel.remoteAddress());
     }
 
+    int standingCalls() {
+        return standing;
+    }
+
     void standing(int change) {
         standing += change;
     }
@@ -147,6 +157,7 @@
         }
         listener.closed(this);
         giveUpAll();
+        listener.book().releases().gone(this);
     }
 
     private void giveUpAll() {
@@ -189,6 +200,8 @@
         if (message.isRequest()) {
             request(message, now);
             listener.loop().kick();
+        } else if (message.cseqMethod().equals(SipMessage.BYE) && message.status() == SipMessage.OK) {
+            listener.book().releases().heard(this, String.valueOf(message.callId()));
         }
     }
 
@@ -224,7 +237,7 @@
         CallBook book = listener.book();
         if (!shown) {
             shown = true;
-            book.shown(this);
+            book.releases().shown(this);
         }
         NodeCall known = book.get(asked.id());
         if (asked.at() != null) {
@@ -266,8 +279,10 @@
         NodeCall call = new NodeCall(listener.book(), asked.id(), asked.target(), asked.className(), asked.legs(),
                 message.cseq(), null, this);
         ServerLink server = listener.servers().get(asked.at());
-        if (server == null || !listener.book().adopt(call, server, now)) {
-            listener.book().release(call, CallBook.TEMPORARY_FAILURE);
+        if (server == null) {
+            listener.book().releases().say(call, CallBook.TEMPORARY_FAILURE);
+        } else {
+            listener.book().adopt(call, server, now);
         }
     }
 
@@ -280,7 +295,7 @@
         } else {
             // It crossed the answer: its caller has gone, and both sides hear that the call is over.
             listener.book().hangUp(call);
-            listener.book().release(call, CallBook.NORMAL_CLEARING);
+            listener.book().releases().say(call, CallBook.NORMAL_CLEARING);
         }
     }
 
--- a/src/main/java/damsonseam/node/CoordinatorClient.java
+++ b/src/main/java/damsonseam/node/CoordinatorClient.java
@@ -9,6 +9,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -18,19 +19,22 @@
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Follows the coordinator: numbered changes of the list of servers in binary frames. A connection that breaks, or
- * brings no frame for longer than the platform ever lets pass, is made again from the last number had.
+ * Follows the coordinator: numbered changes of the list of servers in binary frames. A connection that breaks, brings
+ * no frame for longer than the platform ever lets pass, or shows a gap in the numbers is made again from the last
+ * number had. There is one watch at a time, and each one that ends is followed by one backoff, whoever asks: a fleet
+ * that loses its coordinator must not storm it when it returns.
  */
 final class CoordinatorClient implements Ports.Directory {
     private static final Logger LOG = LoggerFactory.getLogger(CoordinatorClient.class);
     /** A frame comes each second; two missing ones would be late for what a silent coordinator owes. */
     private static final double SILENCE_MS = 1_500;
-    private static final double FIRST_PAUSE = 50;
-    private static final double MOST_PAUSE = 500;
+    private static final double FIRST_BACKOFF_MS = 50;
+    private static final double MOST_BACKOFF_MS = 500;
     private static final int CONNECT_MS = 500;
     private static final int HEADER = 9;
     private static final int RECORD = 27;
@@ -38,39 +42,66 @@
 
     private final Loop loop;
     private final ServerLinks servers;
+    private final SplittableRandom random;
     private Router router;
     private Endpoint address;
     private Channel channel;
     private double heardAt;
-    private double pause = FIRST_PAUSE;
+    private double backoff = FIRST_BACKOFF_MS;
+    /** Counts watches and backoffs: what belongs to an earlier one is passed over. */
     private long generation;
+    /** The highest number that a frame of nothing new made this node ask for: asked for once. */
+    private long missed;
     private boolean closed;
 
-    CoordinatorClient(Loop loop, ServerLinks servers, Endpoint address) {
+    /** @param seed spreads the backoffs of a fleet */
+    CoordinatorClient(Loop loop, ServerLinks servers, Endpoint address, long seed) {
         this.loop = loop;
         this.servers = servers;
         this.address = address;
+        random = new SplittableRandom(seed);
     }
 
-    /** Applies what the configuration knows already. */
+    /** Applies what the configuration knows already, and connects. */
     void start(Router router, List<ListEvent> known) {
         this.router = router;
         known.forEach(this::apply);
+        watch();
     }
 
-    /** Connects. */
+    /** The module asks for the list before the start, which connects by itself, or when it was told of a failure. */
     @Override
     public void follow() {
-        long of = ++generation;
+        fetch();
+    }
+
+    /** Asks from the last number had, after the backoff; while an ask is out that is the one. */
+    @Override
+    public void fetch() {
+        if (channel != null) {
+            broke(generation, "asked for");
+        }
+    }
+
+    /** The coordinator is at another address from now on; numbers go on. */
+    void move(Endpoint to, List<ListEvent> known) {
+        known.forEach(this::apply);
+        if (!to.equals(address)) {
+            LOG.atInfo().addKeyValue("from", address.toString()).addKeyValue("to", to.toString())
+                    .log("coordinator moved");
+            address = to;
+            backoff = FIRST_BACKOFF_MS;
+            watch();
+        }
+    }
+
+    private void watch() {
         if (closed) {
             return;
         }
-        if (channel != null) {
-            channel.close();
-            channel = null;
-        }
+        long of = leave();
         heardAt = loop.now();
-        new Bootstrap().group(loop.eventLoop()).channel(NioSocketChannel.class)
+        ChannelFuture made = new Bootstrap().group(loop.eventLoop()).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.ALLOCATOR, NodeServer.BUFFERS)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
                 .handler(new ChannelInitializer<SocketChannel>() {
@@ -79,32 +110,25 @@
                         made.pipeline().addLast(new LengthFieldBasedFrameDecoder(MOST_FRAME, 0, 4, 0, 4),
                                 new Frames(of));
                     }
-                }).connect(address.socket()).addListener(f -> {
-                    if (!f.isSuccess()) {
-                        broke(of, f.cause().toString());
-                    }
-                });
-        watch(of);
-    }
-
-    @Override
-    public void fetch() {
-        follow();
+                }).connect(address.socket());
+        made.addListener(f -> {
+            if (!f.isSuccess()) {
+                broke(of, f.cause().toString());
+            }
+        });
+        lookAt(of);
     }
 
-    /** The coordinator is at another address from now on; numbers go on. */
-    void move(Endpoint to, List<ListEvent> known) {
-        known.forEach(this::apply);
-        if (!to.equals(address)) {
-            LOG.atInfo().addKeyValue("from", address.toString()).addKeyValue("to", to.toString())
-                    .log("coordinator moved");
-            address = to;
-            pause = FIRST_PAUSE;
-            follow();
+    /** Ends the watch or backoff that there is, and begins the count of the next. */
+    private long leave() {
+        if (channel != null) {
+            channel.close();
+            channel = null;
         }
+        return ++generation;
     }
 
-    private void watch(long of) {
+    private void lookAt(long of) {
         loop.timers().set(loop.now() + SILENCE_MS / 4, now -> {
             if (of != generation) {
                 return;
@@ -112,7 +136,7 @@
             if (now - heardAt > SILENCE_MS) {
                 broke(of, "silent");
             } else {
-                watch(of);
+                lookAt(of);
             }
         });
     }
@@ -122,21 +146,28 @@
             return;
         }
         LOG.atInfo().addKeyValue("why", why).addKeyValue("last", router.pool().version()).log("coordinator lost");
-        generation++;
-        if (channel != null) {
-            channel.close();
-            channel = null;
-        }
-        double wait = pause * (0.5 + 0.5 * Math.random());
-        pause = Math.min(MOST_PAUSE, 2 * pause);
-        long asked = generation;
+        long next = leave();
+        double wait = backoff * (0.5 + 0.5 * random.nextDouble());
+        backoff = Math.min(MOST_BACKOFF_MS, 2 * backoff);
         loop.timers().set(loop.now() + wait, now -> {
-            if (asked == generation) {
-                follow();
+            if (next == generation) {
+                watch();
             }
         });
     }
 
+    /** One frame; null says that nothing is new, as of {@code number}. */
+    private void received(long of, long number, ListEvent event) {
+        heardAt = loop.now();
+        if (event != null ? apply(event) : number <= router.pool().version() || number <= missed) {
+            backoff = FIRST_BACKOFF_MS;
+            return;
+        }
+        // An event before this number never came, and none will on this connection.
+        missed = Math.max(missed, number);
+        broke(of, "a gap before " + number);
+    }
+
     /** Events that were had already are passed over; a gap asks again from the last number had. */
     private boolean apply(ListEvent event) {
         if (event.number() <= router.pool().version()) {
@@ -151,12 +182,8 @@
         return !gap;
     }
 
-    /** Reads one frame without its length; null where it holds nothing new. */
-    static ListEvent read(ByteBuf frame) {
-        if (frame.readableBytes() < HEADER) {
-            throw new IllegalArgumentException("a frame of " + frame.readableBytes() + " octets");
-        }
-        long number = frame.readLong();
+    /** Reads one frame behind its length and number; null where it holds nothing new. */
+    static ListEvent read(long number, ByteBuf frame) {
         int kind = frame.readUnsignedByte();
         if (kind == 0) {
             return null;
@@ -214,12 +241,11 @@
             if (of != generation) {
                 return;
             }
-            heardAt = loop.now();
-            pause = FIRST_PAUSE;
-            ListEvent event = read(frame);
-            if (event != null && !apply(event)) {
-                follow();
+            if (frame.readableBytes() < HEADER) {
+                throw new IllegalArgumentException("a frame of " + frame.readableBytes() + " octets");
             }
+            long number = frame.readLong();
+            received(of, number, read(number, frame));
             loop.kick();
         }
 
--- a/src/main/java/damsonseam/node/NodeServer.java
+++ b/src/main/java/damsonseam/node/NodeServer.java
@@ -1,6 +1,7 @@
 package damsonseam.node;
 
 import damsonseam.Decide;
+import damsonseam.Front.CallClass;
 import damsonseam.Front.Settings;
 import damsonseam.core.CallTable;
 import damsonseam.core.Counters;
@@ -16,7 +17,9 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
@@ -42,21 +45,19 @@
     /** Connections to all servers at the most, and as a share of the descriptors. */
     private static final int MOST_SERVER_CONNECTIONS = 96;
     private static final int SERVERS_SHARE = 6;
-    /** After SIGTERM the platform still sends for 0.6 s, and what comes later than 0.7 s is none of this node's. */
-    private static final double LINGER_MS = 900;
-    private static final double MOST_LINGER_MS = 3_500;
-    private static final int POLL_MS = 10;
     /** A pause of the loop that the log tells of: callers and the module's estimates feel it. */
     private static final double PAUSE_MS = 250;
 
     private final NodeConfig config;
     private final MultiThreadIoEventLoopGroup group;
     private final Loop loop;
-    private final CallBook book = new CallBook();
+    private final Releases releases;
+    private final CallBook book;
     private final ServerLinks servers;
     private final CallerListener callers;
     private final CoordinatorClient coordinator;
     private final Router router;
+    private final List<CallClass> classes;
     private double beatAt;
     private boolean ending;
     private boolean closed;
@@ -65,15 +66,18 @@
         this.config = config;
         group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         loop = new Loop((EventLoop) group.next(), BEAT);
+        releases = new Releases(loop);
+        book = new CallBook(releases);
         Settings module = config.settings().settings(config.seed());
+        classes = module.classes();
         CallSettings calls = new CallSettings(config.settings());
         int links = Math.min(MOST_SERVER_CONNECTIONS, config.sockets() / SERVERS_SHARE);
         servers = new ServerLinks(loop, book, calls.reports(),
-                config.settings().connectTimeout().orElse(CONNECT_TIMEOUT), links);
+                config.settings().connectTimeout().orElse(CONNECT_TIMEOUT), links, config.seed());
         // Callers may take a third of the descriptors; all that is left is room for those that only knock.
-        callers = new CallerListener(loop, calls, book, servers, config.sockets() - OWN_DESCRIPTORS - links,
+        callers = new CallerListener(loop, calls, book, servers, config.sockets() - OWN_DESCRIPTORS,
                 this::ready);
-        coordinator = new CoordinatorClient(loop, servers, config.coordinator());
+        coordinator = new CoordinatorClient(loop, servers, config.coordinator(), config.seed());
         int most = Math.min(config.settings().mostHeld().orElse(MOST_HELD),
                 config.memoryMb() > 0 ? config.memoryMb() * CALLS_A_MB : MOST_HELD);
         router = new Router(new RouterSettings(module, most, BEAT, RELEASE_WAIT, LAST_MOMENT),
@@ -98,11 +102,11 @@
 
     private void listen() throws IOException {
         call(() -> {
-            book.start(router, callers);
+            book.start(router);
+            releases.start(router, callers);
             servers.start(router);
             callers.start(router);
             coordinator.start(router, config.known());
-            coordinator.follow();
             loop.start(this::beat, () -> router.settle(loop.now()));
             loop.kick();
             return null;
@@ -132,32 +136,27 @@
 
     /** A new configuration: only the coordinator's address changes while a node runs. */
     public void reload(NodeConfig news) {
-        call(() -> {
-            coordinator.move(news.coordinator(), news.known());
-            return null;
-        });
+        if (!loop.eventLoop().isShuttingDown()) {
+            call(() -> {
+                coordinator.move(news.coordinator(), news.known());
+                return null;
+            });
+        }
     }
 
     /** Answers what still comes, finishes what is open, and ends. */
     public void drain() throws InterruptedException {
         LOG.atInfo().addKeyValue("node", config.name()).log("ending");
-        double from = call(() -> {
+        CompletableFuture<Void> done = call(() -> {
             ending = true;
-            return loop.now();
+            return new Shutdown(loop, router, callers, servers, releases, classes).begin();
         });
-        while (loop.now() - from < LINGER_MS || loop.now() - from < MOST_LINGER_MS && !settled()) {
-            Thread.sleep(POLL_MS);
-        }
+        done.join();
         LOG.atInfo().addKeyValue("node", config.name()).addKeyValue("owed", owed())
                 .addKeyValue("standing", call(() -> book.size())).log("ended");
         close();
     }
 
-    /** Whether nothing is owed, and nothing that a caller has sent waits to be read. */
-    private boolean settled() {
-        return call(() -> router.owed() == 0 && callers.accepting());
-    }
-
     private int owed() {
         return call(() -> router.owed());
     }
@@ -182,6 +181,36 @@
         return call(() -> router.pool().version());
     }
 
+    /**
+     * What the node holds to be so, in places that must agree.
+     *
+     * @param calls calls of callers, those that stand included
+     * @param core those that the core has, too: all but the ones taken over from before the start
+     * @param owed calls whose callers are owed an answer, by the core's count
+     * @param attempts attempts that have not ended, at all servers
+     * @param carried attempts by the counts of the connections that carry them, and those that wait for one
+     * @param standing calls that stand, by servers
+     * @param named calls that stand, by the connections of their callers
+     */
+    record Beliefs(int calls, int core, int owed, int attempts, int carried, int standing, int named) { }
+
+    Beliefs beliefs() {
+        return call(() -> new Beliefs(book.size(), router.open(), router.owed(), servers.attempts(),
+                servers.carried(), servers.standing(), book.named()));
+    }
+
+    Loop loop() {
+        return loop;
+    }
+
+    CoordinatorClient coordinator() {
+        return coordinator;
+    }
+
+    CallerListener listener() {
+        return callers;
+    }
+
     /** Counts since the start; read them when the node is at rest. */
     public Counters counters() {
         return router.counters();
--- a/src/main/java/damsonseam/node/ServerLink.java
+++ b/src/main/java/damsonseam/node/ServerLink.java
@@ -85,13 +85,14 @@
     private double testedAt;
     private long testNumber;
 
-    /** An attempt that has not ended. */
+    /** An attempt that has not ended: it waits for a connection, or has one, or has gone out on it. */
     private static final class Attempt {
         final NodeCall of;
         final long call;
         final int number;
         final double until;
         ServerConnection on;
+        boolean sent;
         double sentAt;
 
         Attempt(NodeCall of, long call, int number, double until) {
@@ -130,8 +131,18 @@
         return server.address();
     }
 
+    /** Descriptors of this link: its connections, and the one being made. */
     int connections() {
-        return connections.size();
+        return connections.size() + (connecting ? 1 : 0);
+    }
+
+    int attempts() {
+        return attempts.size();
+    }
+
+    /** Attempts by the counts of connections, and those that wait for one. */
+    int carried() {
+        return waiting.size() + connections.stream().mapToInt(ServerConnection::out).sum();
     }
 
     Set<NodeCall> standing() {
@@ -160,7 +171,7 @@
         replaced = false;
         wanted = true;
         if (news.state() != State.RUNNING) {
-            endWaiting();
+            endUnsent();
         }
         double started = news.startedAt().orElse(Double.NEGATIVE_INFINITY);
         if (started > old.startedAt().orElse(Double.NEGATIVE_INFINITY)) {
@@ -180,7 +191,7 @@
         listed = false;
         if (wanted) {
             wanted = false;
-            endWaiting();
+            endUnsent();
             closeIfUnused();
         }
     }
@@ -189,7 +200,7 @@
     void replaced() {
         replaced = true;
         wanted = false;
-        endWaiting();
+        endUnsent();
         cut(call -> true);
         List.copyOf(connections).forEach(ServerConnection::close);
     }
@@ -240,7 +251,7 @@
         connections.add(connection);
         heardAt = Math.max(heardAt, now() - TEST_AFTER);
         for (Attempt a = waiting.poll(); a != null; a = waiting.poll()) {
-            send(a, connection);
+            place(a, connection);
         }
         if (oneMore) {
             oneMore = false;
@@ -273,11 +284,16 @@
             LOG.atInfo().addKeyValue("server", server.id()).addKeyValue("out", connection.out())
                     .addKeyValue("others", connections.size()).log("server's connection lost with set-ups out");
         }
+        // A release may have been on its way here: the server says it again on the next connection that is opened.
+        oneMore = connecting;
+        connect();
         router.clock(now());
         for (Attempt a : List.copyOf(attempts.values())) {
-            if (a.on == connection) {
+            if (a.on == connection && a.sent) {
                 a.of.brokeAt = this;
                 end(a, Result.RESET, Reason.NONE, Report.NONE);
+            } else if (a.on == connection) {
+                placeAgain(a);
             }
         }
         tests.entrySet().removeIf(e -> {
@@ -290,9 +306,6 @@
         if (connections.isEmpty() && !wanted) {
             cut(call -> true);
         }
-        // A release may have been on its way here: the server says it again on the next connection that is opened.
-        oneMore = connecting;
-        connect();
         shared.loop().kick();
     }
 
@@ -301,7 +314,7 @@
             return;
         }
         // Fronts lose a server together: half to all of the pause keeps their connections apart.
-        double wait = pause * (0.5 + 0.5 * Math.random());
+        double wait = pause * (0.5 + 0.5 * shared.random().nextDouble());
         pause = Math.min(MOST_PAUSE, 2 * pause);
         pausing = true;
         shared.loop().timers().set(now() + wait, at -> {
@@ -325,36 +338,55 @@
 
     // ---- Attempts ---------------------------------------------------------------------------------------
 
-    /** Sends a set-up, or keeps it until a connection stands; false if it can't go out. */
+    /** Takes a set-up, which waits for a connection where none is free; false if it can't go out. */
     boolean setUp(NodeCall of, long call, int number, double until) {
-        if (!wanted) {
-            return false;
-        }
-        ServerConnection on = best(false);
-        boolean wait = on == null && waiting.size() < MOST_WAITING && connect();
-        if (on == null && !wait) {
-            on = best(true);
-        }
-        if (on == null && !wait) {
+        Attempt attempt = new Attempt(of, call, number, until);
+        if (!wanted || !findPlace(attempt)) {
             return false;
         }
-        Attempt attempt = new Attempt(of, call, number, until);
         attempts.put(attempt.key(), attempt);
-        if (wait) {
+        return true;
+    }
+
+    private boolean findPlace(Attempt attempt) {
+        ServerConnection on = best(false);
+        if (on == null && waiting.size() < MOST_WAITING && connect()) {
             waiting.add(attempt);
             return true;
         }
+        on = on == null ? best(true) : on;
+        if (on == null) {
+            return false;
+        }
         if (on.out() > 0) {
             connect();
         }
-        send(attempt, on);
+        place(attempt, on);
         return true;
     }
 
-    private void send(Attempt attempt, ServerConnection on) {
+    /** The connection of an attempt went before the attempt did. */
+    private void placeAgain(Attempt attempt) {
+        attempt.on = null;
+        if (!wanted || !findPlace(attempt)) {
+            end(attempt, Result.UNREACHABLE, Reason.NONE, Report.NONE);
+        }
+    }
+
+    /** The set-up goes out when the sockets have been read once more: its caller may have left by then. */
+    private void place(Attempt attempt, ServerConnection on) {
         attempt.on = on;
-        attempt.sentAt = now();
         on.out(1);
+        shared.loop().afterReads(() -> {
+            if (attempts.get(attempt.key()) == attempt && attempt.on == on && !attempt.sent) {
+                send(attempt);
+            }
+        });
+    }
+
+    private void send(Attempt attempt) {
+        attempt.sent = true;
+        attempt.sentAt = now();
         NodeCall of = attempt.of;
         SipMessage invite = SipMessage.request(SipMessage.INVITE, of.target, of.id, attempt.number + 1, of.offer)
                 .with("X-Cos", of.className)
@@ -362,7 +394,7 @@
         if (of.legs != null) {
             invite.with("X-Legs", of.legs);
         }
-        on.send(invite, null);
+        attempt.on.send(invite, null);
     }
 
     /** Gives an attempt up; the core hears when the system has taken the give-up. */
@@ -372,12 +404,14 @@
             return;
         }
         long call = attempt.call;
-        if (attempt.on == null) {
+        if (attempt.on != null) {
+            attempt.on.out(-1);
+        }
+        if (!attempt.sent) {
             waiting.remove(attempt);
             shared.loop().timers().set(now(), at -> router.released(at, call, number));
             return;
         }
-        attempt.on.out(-1);
         attempt.on.givenUp(attempt.sentAt);
         attempt.of.brokeAt = this;
         givenUp.put(attempt.key(), attempt.of.target);
@@ -403,6 +437,16 @@
         }
     }
 
+    /** The server takes nothing new any more: what has not gone out does not go. */
+    private void endUnsent() {
+        endWaiting();
+        for (Attempt a : List.copyOf(attempts.values())) {
+            if (!a.sent) {
+                end(a, Result.UNREACHABLE, Reason.NONE, Report.NONE);
+            }
+        }
+    }
+
     /** Sends the release of a call that stands. */
     void bye(String id, String target) {
         LOG.atDebug().addKeyValue("id", id).addKeyValue("server", server.id()).log("released by the node");
@@ -465,7 +509,7 @@
         }
         String key = key(message.callId(), message.cseqNumber() - 1);
         Attempt attempt = attempts.get(key);
-        if (attempt == null || attempt.on != on) {
+        if (attempt == null || attempt.on != on || !attempt.sent) {
             late(on, message, key);
             return;
         }
@@ -532,23 +576,27 @@
      */
     private void released(ServerConnection on, SipMessage message, Report report) {
         NodeCall call = shared.book().get(String.valueOf(message.callId()));
+        boolean tidy = String.valueOf(message.headers().get(SipHeaders.REASON)).replace(" ", "")
+                .endsWith("cause=" + CallBook.NORMAL_CLEARING);
         if (call == null) {
             LOG.atDebug().addKeyValue("id", String.valueOf(message.callId())).addKeyValue("server", server.id())
                     .log("release of no call here");
+            if (CallSettings.isId(message.callId())) {
+                shared.book().endedAt(server.id(), message.callId(),
+                        tidy ? CallBook.NORMAL_CLEARING : CallBook.TEMPORARY_FAILURE);
+            }
             return;
         }
-        String reason = String.valueOf(message.headers().get(SipHeaders.REASON));
         if (call.standsAt == this) {
             if (call.brokeAt == this && call.standsOn != on && call.standsOn.usable()) {
                 return;
             }
-            boolean tidy = reason.replace(" ", "").endsWith("cause=" + CallBook.NORMAL_CLEARING);
             shared.book().ended(call, tidy ? Result.COMPLETED : Result.RESET, report);
             closeIfUnused();
             return;
         }
         for (Attempt a : List.copyOf(attempts.values())) {
-            if (a.of == call && a.on == on) {
+            if (a.of == call && a.on == on && a.sent) {
                 end(a, Result.RESET, Reason.NONE, report);
             }
         }
--- a/src/main/java/damsonseam/node/ServerLinks.java
+++ b/src/main/java/damsonseam/node/ServerLinks.java
@@ -14,6 +14,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
 
 /** The ways to the signalling servers, one for each that the list has named and that is still of use. */
@@ -26,10 +27,13 @@
      *
      * @param connectTimeout how long a connection may take, in milliseconds
      * @param room whether there may be one more connection beside the first to each server
+     * @param random spreads what fronts would else do in step
      */
-    record Shared(Loop loop, CallBook book, ReportFields reports, double connectTimeout, BooleanSupplier room) { }
+    record Shared(Loop loop, CallBook book, ReportFields reports, double connectTimeout, BooleanSupplier room,
+            SplittableRandom random) { }
 
     private final Shared shared;
+    private final int mostConnections;
     private final Map<String, ServerLink> links = new HashMap<>();
     private Router router;
 
@@ -37,10 +41,14 @@
      * No links yet.
      *
      * @param mostConnections connections to all servers that are made at the most beside the first to each
+     * @param seed for random numbers
      */
-    ServerLinks(Loop loop, CallBook book, ReportFields reports, double connectTimeout, int mostConnections) {
+    ServerLinks(Loop loop, CallBook book, ReportFields reports, double connectTimeout, int mostConnections,
+            long seed) {
+        this.mostConnections = mostConnections;
         shared = new Shared(loop, book, reports, connectTimeout,
-                () -> links.values().stream().mapToInt(ServerLink::connections).sum() < mostConnections);
+                () -> links.values().stream().mapToInt(ServerLink::connections).sum() < mostConnections,
+                new SplittableRandom(seed));
     }
 
     void start(Router router) {
@@ -56,6 +64,23 @@
         return links.size();
     }
 
+    int attempts() {
+        return links.values().stream().mapToInt(ServerLink::attempts).sum();
+    }
+
+    int carried() {
+        return links.values().stream().mapToInt(ServerLink::carried).sum();
+    }
+
+    int standing() {
+        return links.values().stream().mapToInt(l -> l.standing().size()).sum();
+    }
+
+    /** Descriptors kept for servers: the limit, and one for each server where they are more. */
+    int reserved() {
+        return Math.max(mostConnections, links.size());
+    }
+
     /** Follows the list: new servers get a link, those gone from it lose theirs once their calls are over. */
     void follow(Pool pool) {
         Set<String> listed = new HashSet<>();
--- a/src/test/java/damsonseam/node/NodeRig.java
+++ b/src/test/java/damsonseam/node/NodeRig.java
@@ -9,14 +9,18 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import org.awaitility.Awaitility;
 
 /** A front node on loopback with signalling servers and a coordinator that do as the test says. */
 final class NodeRig implements AutoCloseable {
     static final byte[] OFFER = "9d41c07a5be2f318\r\nc=IN IP4 10.4.7.9\r\n".getBytes(StandardCharsets.UTF_8);
     static final byte[] ANSWER = "77\r\nc=IN IP4 10.9.9.9\r\nm=audio 4 RTP/AVP 0\r\n".getBytes(StandardCharsets.UTF_8);
+    /** The release guard of the settings below, in milliseconds. */
+    static final int GUARD_MS = 150;
     static final String NUMBER = "7f3a9c21e0b4d655";
 
     final List<ServerSocket> servers = new ArrayList<>();
@@ -27,16 +31,32 @@
 
     /** A node before so many servers, all on the list it starts with. */
     NodeRig(int count) throws Exception {
+        this(listening(count));
+    }
+
+    /** A node before these servers. */
+    NodeRig(List<ServerSocket> before) throws Exception {
+        servers.addAll(before);
+        node = NodeServer.start(NodeConfig.of(new ObjectMapper().readTree(config(coordinator.getLocalPort()))));
+    }
+
+    private static List<ServerSocket> listening(int count) throws IOException {
+        List<ServerSocket> sockets = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            servers.add(listen());
+            sockets.add(listen());
         }
-        node = NodeServer.start(NodeConfig.of(new ObjectMapper().readTree(config(coordinator.getLocalPort()))));
+        return sockets;
     }
 
     static ServerSocket listen() throws IOException {
         return new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     }
 
+    /** The configuration with the coordinator at another port. */
+    NodeConfig configuration(int coordinatorPort) throws Exception {
+        return NodeConfig.of(new ObjectMapper().readTree(config(coordinatorPort)));
+    }
+
     String config(int coordinatorPort) {
         StringBuilder members = new StringBuilder();
         for (int i = 0; i < servers.size(); i++) {
@@ -68,6 +88,62 @@
         return caller;
     }
 
+    /** A call that stands: its set-up, with the connections that carry it. */
+    record Standing(SipSocket caller, SipSocket server, SipMessage invite) { }
+
+    /** A call of a new caller that stands at a server on this connection of the node. */
+    Standing standing(SipSocket server) throws Exception {
+        SipSocket caller = caller();
+        SipMessage invite = invite();
+        caller.send(invite);
+        server.send(stands(server.next("INVITE")));
+        if (caller.next().status() != 200) {
+            throw new AssertionError("the call does not stand");
+        }
+        return new Standing(caller, server, invite);
+    }
+
+    /** Keeps the node's loop from turning until the result is closed: what comes meanwhile waits in the sockets. */
+    AutoCloseable pause() throws Exception {
+        CountDownLatch paused = new CountDownLatch(1);
+        CountDownLatch on = new CountDownLatch(1);
+        node.loop().eventLoop().execute(() -> {
+            paused.countDown();
+            try {
+                on.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        paused.await();
+        return on::countDown;
+    }
+
+    /** Begins the planned end of the node. */
+    Thread drain() {
+        Thread ending = new Thread(() -> {
+            try {
+                node.drain();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        ending.start();
+        return ending;
+    }
+
+    /** Waits until nothing is left of any call; what the node holds in several places agrees. */
+    void empty() {
+        Awaitility.await().until(() -> node.beliefs(), b -> b.equals(new NodeServer.Beliefs(0, 0, 0, 0, 0, 0, 0)));
+    }
+
+    /** What the node holds to be so agrees between its tables, as calls, attempts and standing calls go. */
+    private void agree() {
+        Awaitility.await().atMost(Duration.ofSeconds(5)).until(() -> node.beliefs(), b -> b.attempts() == b.carried()
+                && b.standing() == b.named() && b.calls() >= b.core() && b.attempts() <= b.owed()
+                && b.calls() == b.owed() + b.standing());
+    }
+
     <T extends AutoCloseable> T keep(T what) {
         open.add(what);
         return what;
@@ -162,6 +238,9 @@
 
     @Override
     public void close() throws Exception {
+        if (!node.loop().eventLoop().isShuttingDown()) {
+            agree();
+        }
         node.close();
         for (AutoCloseable one : open) {
             one.close();
--- /dev/null
+++ b/src/test/java/damsonseam/node/ServerCrossingsTest.java
@@ -0,0 +1,82 @@
+package damsonseam.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import damsonseam.sip.SipMessage;
+import java.io.IOException;
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Connections to servers that close or reset as a set-up is under way, and descriptors that run short. */
+@Timeout(60)
+class ServerCrossingsTest {
+
+    @Test
+    void aSetUpWhoseConnectionIsResetBeforeItWentOutGoesOnTheNext() throws Exception {
+        try (NodeRig rig = new NodeRig(1)) {
+            SipSocket server = rig.accept(0);
+            SipSocket caller = rig.caller();
+            SipMessage invite = rig.invite();
+            try (AutoCloseable paused = rig.pause()) {
+                assertNotNull(paused);
+                caller.send(invite);
+                server.reset();
+            }
+            SipSocket next = rig.accept(0);
+            SipMessage seen = next.next("INVITE");
+            assertEquals("1 INVITE", seen.cseq(), "no attempt was used up");
+            next.send(NodeRig.stands(seen));
+            assertEquals(200, caller.next().status());
+        }
+    }
+
+    @Test
+    void anIdleCloseThatCrossesASetUpIsARestAndTheCallGoesOn() throws Exception {
+        try (NodeRig rig = new NodeRig(1)) {
+            SipSocket server = rig.accept(0);
+            SipSocket caller = rig.caller();
+            caller.send(rig.invite());
+            Awaitility.await().until(server::hasUnread);
+            // Closed with the set-up unread: the node sees a reset, and whether it ran can't be known.
+            server.close();
+            SipSocket next = rig.accept(0);
+            SipMessage seen = next.next("INVITE");
+            assertEquals("2 INVITE", seen.cseq());
+            next.send(NodeRig.stands(seen));
+            assertEquals(200, caller.next().status());
+        }
+    }
+
+    @Test
+    void anAcceptThatFailsKeepsNobodyWaitingForASecond() throws Exception {
+        try (NodeRig rig = new NodeRig(1)) {
+            rig.accept(0);
+            rig.caller();
+            rig.node.loop().eventLoop().submit(() -> rig.node.listener().pipeline()
+                    .fireExceptionCaught(new IOException("Too many open files"))).get();
+            long from = System.nanoTime();
+            rig.caller();
+            assertTrue(System.nanoTime() - from < 700_000_000L);
+        }
+    }
+
+    @Test
+    void descriptorsForManyServersAreKeptAside() throws Exception {
+        int servers = 60;
+        try (NodeRig rig = new NodeRig(servers)) {
+            for (int i = 0; i < servers; i++) {
+                rig.accept(i);
+            }
+            SipSocket first = rig.caller();
+            for (int i = 0; i < 300; i++) {
+                rig.keep(SipSocket.to(rig.node.address()));
+            }
+            Awaitility.await().until(() -> rig.node.callers() == 256 - 72 - servers);
+            first.send(rig.invite());
+            assertNotNull(rig.coordinator(), "the coordinator's own place");
+        }
+    }
+}
--- a/src/test/java/damsonseam/node/SipSocket.java
+++ b/src/test/java/damsonseam/node/SipSocket.java
@@ -101,6 +101,39 @@
         socket.close();
     }
 
+    /** Says that nothing more comes, and reads on. */
+    void halfClose() throws IOException {
+        socket.shutdownOutput();
+    }
+
+    /** Whether octets wait to be read. */
+    boolean hasUnread() throws IOException {
+        return socket.getInputStream().available() > 0;
+    }
+
+    /** Reads to the end; whether that was an end in order and no reset. */
+    boolean endsInOrder() throws IOException {
+        socket.setSoTimeout(PATIENCE_MS);
+        byte[] part = new byte[4_096];
+        try {
+            int n = 0;
+            while (n >= 0) {
+                n = socket.getInputStream().read(part);
+                if (n > 0) {
+                    decoder.writeInbound(Unpooled.copiedBuffer(part, 0, n));
+                }
+            }
+            return true;
+        } catch (java.net.SocketException e) {
+            return false;
+        }
+    }
+
+    /** The next of the messages read already, or null. */
+    SipMessage had() {
+        return decoder.readInbound();
+    }
+
     @Override
     public void close() throws IOException {
         socket.close();
