Front node: a request in pieces is not cut off by the silence before it

CallerLink.overdue counted from the last whole message: a connection that had been idle for over 2 s was closed as soon as a look at idle ones met a request half way, and a request in pieces over more than 2 s always. Seen in reading; forced by PiecesTest (a last octet 0.3 s after the rest on a connection idle for 2.2 s, four pieces 0.8 s apart). Now the limit counts from the last octet, and a message that takes longer than any class's deadline is closed. PiecesTest and NodeServerTest pass; the full verify has not run on this yet.

--- a/src/main/java/damsonseam/node/CallSettings.java
+++ b/src/main/java/damsonseam/node/CallSettings.java
@@ -16,12 +16,20 @@
 
     private final List<String> classes;
     private final ReportFields reports;
+    private final double longestWait;
 
     CallSettings(StartSettings settings) {
         classes = settings.classNames();
+        longestWait = settings.settings(0).classes().stream().mapToDouble(c -> c.deadline().orElse(LONGEST_WAIT))
+                .max().orElse(LONGEST_WAIT);
         reports = new ReportFields(settings.reportFields(), ';');
     }
 
+    /** The longest that a caller of any class waits for an answer, in milliseconds. */
+    double longestWait() {
+        return longestWait;
+    }
+
     ReportFields reports() {
         return reports;
     }
--- a/src/main/java/damsonseam/node/CallerLink.java
+++ b/src/main/java/damsonseam/node/CallerLink.java
@@ -25,7 +25,7 @@
 /** One connection from a caller: reads what it asks and owes it the answers. */
 final class CallerLink extends SimpleChannelInboundHandler<SipMessage> {
     private static final Logger LOG = LoggerFactory.getLogger(CallerLink.class);
-    /** A connection that says nothing, or only part of a message, is closed after this. */
+    /** A connection that says nothing from the start, or nothing more amid a message, is closed after this. */
     private static final double SILENT_MS = 2_000;
     /** One without an open call after this: callers close theirs sooner, those that forget give room. */
     private static final double IDLE_MS = 10_000;
@@ -51,6 +51,8 @@
     /** Calls that stand and were named on this connection last. */
     private int standing;
     private double heardAt;
+    /** Since when part of a message stands here; NaN while none does. */
+    private double amidstFrom = Double.NaN;
     private boolean spoke;
     private boolean shown;
     private boolean unflushed;
@@ -83,8 +85,11 @@
 
     /** Whether the connection has been of no use for too long. */
     boolean overdue(double now) {
-        double limit = !spoke || decoder.amidst() ? SILENT_MS : IDLE_MS;
-        return open.isEmpty() && (standing == 0 || decoder.amidst()) && now - heardAt > limit;
+        boolean amidst = decoder.amidst();
+        double limit = !spoke || amidst ? SILENT_MS : IDLE_MS;
+        // Whoever takes longer for one message than any caller waits for its answer wants none.
+        boolean endless = amidst && now - amidstFrom > listener.settings().longestWait();
+        return open.isEmpty() && (standing == 0 || amidst) && (now - heardAt > limit || endless);
     }
 
     /** Sends a message with what else this turn brings; {@code sent} hears whether the system took it. */
@@ -187,6 +192,14 @@
         close(why.toString());
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        // Part of a message counts as a word too: only when no more comes is its sender silent.
+        heardAt = listener.loop().now();
+        amidstFrom = !decoder.amidst() ? Double.NaN : Double.isNaN(amidstFrom) ? heardAt : amidstFrom;
+        ctx.fireChannelReadComplete();
+    }
+
     // ---- What it says -----------------------------------------------------------------------------------
 
     @Override
