Tests of crossings: sharper where undoing the fix went unseen

Three went unseen: a release that only the 5 s of silence brought passed for the one asked for; a silent watch was left for its silence and not for its gap; a caller that talks behind the node's last word found no octets unread. The tests now ask for the release within a second and its cause, keep the watch talking, and go on talking. The count of descriptors read the present number and now the peak. The failed accept has no fault behind it: the look every 50 ms set accepting again before; its test stays as a guard.

--- a/src/main/java/damsonseam/node/CallerListener.java
+++ b/src/main/java/damsonseam/node/CallerListener.java
@@ -49,6 +49,7 @@
     private Router router;
     private Channel channel;
     private long gaveWay;
+    private volatile int peak;
     private double heardAt;
     private double acceptsFrom = Double.NEGATIVE_INFINITY;
 
@@ -93,6 +94,11 @@
         return (InetSocketAddress) channel.localAddress();
     }
 
+    /** The most connections that there were at a time. */
+    int peak() {
+        return peak;
+    }
+
     ChannelPipeline pipeline() {
         return channel.pipeline();
     }
@@ -106,6 +112,7 @@
     void connected(CallerLink link) {
         links.add(link);
         heardAt = loop.now();
+        peak = Math.max(peak, links.size());
         makeRoom(heardAt);
     }
 
@@ -154,7 +161,8 @@
         boolean room = links.size() < most() && now >= acceptsFrom;
         if (channel != null && channel.isActive() && channel.config().isAutoRead() != room) {
             channel.config().setAutoRead(room);
-            LOG.atInfo().addKeyValue("connections", links.size()).addKeyValue("gaveWay", gaveWay)
+            LOG.atInfo().addKeyValue("connections", links.size()).addKeyValue("peak", peak)
+                    .addKeyValue("gaveWay", gaveWay)
                     .log(room ? "callers are accepted again" : "callers wait to be accepted");
         }
     }
--- a/src/test/java/damsonseam/node/CoordinatorCrossingsTest.java
+++ b/src/test/java/damsonseam/node/CoordinatorCrossingsTest.java
@@ -21,8 +21,18 @@
     void nothingNewWithANumberAheadOfOursIsAGap() throws Exception {
         try (NodeRig rig = new NodeRig(1)) {
             NodeRig.Coordinator first = rig.coordinator();
-            first.frame(2, 0, 0, 0, 0);
-            NodeRig.Coordinator second = rig.coordinator();
+            rig.coordinator.setSoTimeout(200);
+            NodeRig.Coordinator second = null;
+            for (int i = 0; i < 15 && second == null; i++) {
+                // It goes on, so that it is not the silence that makes the node ask again.
+                try {
+                    first.frame(2, 0, 0, 0, 0);
+                } catch (java.io.IOException e) {
+                    // Left, as it should be.
+                }
+                second = another(rig);
+            }
+            assertNotNull(second, "not asked again");
             assertEquals(1, second.from);
             // A coordinator that has nothing to tell before that number is asked once and no more.
             second.frame(2, 0, 0, 0, 0);
--- a/src/test/java/damsonseam/node/ReleaseCrossingsTest.java
+++ b/src/test/java/damsonseam/node/ReleaseCrossingsTest.java
@@ -36,7 +36,7 @@
             // The release has been written to a caller that closes without having read it.
             Awaitility.await().until(() -> s.caller().hasUnread());
             s.caller().close();
-            assertEquals(s.invite().callId(), other.caller().next("BYE").callId());
+            assertEquals(s.invite().callId(), other.caller().soon("BYE").callId());
         }
     }
 
@@ -53,7 +53,7 @@
             server.send(NodeRig.bye(s.invite().callId(), 16));
             // Heard of last, the stranger is told first; it knows no such call and does not answer.
             assertEquals(s.invite().callId(), stranger.caller().next("BYE").callId());
-            SipMessage bye = own.caller().next("BYE");
+            SipMessage bye = own.caller().soon("BYE");
             assertEquals(s.invite().callId(), bye.callId());
             proves(own.caller(), bye);
             assertTrue(own.caller().quiet(700) && stranger.caller().quiet(1), "a proved release is not said again");
@@ -81,7 +81,9 @@
             server.send(NodeRig.bye(id, 16));
             assertNotNull(server.next(""));
             caller.send(NodeRig.invite(id, "dest:0;width:1;via:-1;at:s-00000000", "0"));
-            assertEquals(id, caller.next("BYE").callId());
+            SipMessage bye = caller.soon("BYE");
+            assertEquals(id, bye.callId());
+            assertEquals("Q.850;cause=16", bye.headers().get("Reason"));
             rig.empty();
         }
     }
@@ -96,7 +98,7 @@
             assertNotNull(s.caller().next("BYE"));
             // The caller's word for the call was on its way, on another connection, as the release came.
             second.send(NodeRig.invite(s.invite().callId(), "dest:0;width:1;via:-1;at:s-00000000", "0"));
-            assertEquals(s.invite().callId(), second.next("BYE").callId());
+            assertEquals(s.invite().callId(), second.soon("BYE").callId());
             rig.empty();
         }
     }
--- a/src/test/java/damsonseam/node/ServerCrossingsTest.java
+++ b/src/test/java/damsonseam/node/ServerCrossingsTest.java
@@ -74,7 +74,9 @@
             for (int i = 0; i < 300; i++) {
                 rig.keep(SipSocket.to(rig.node.address()));
             }
-            Awaitility.await().until(() -> rig.node.callers() == 256 - 72 - servers);
+            int most = 256 - 72 - servers;
+            Awaitility.await().until(() -> rig.node.listener().peak() >= most);
+            assertTrue(rig.node.listener().peak() <= most + 4, "at most those accepted in one turn beyond");
             first.send(rig.invite());
             assertNotNull(rig.coordinator(), "the coordinator's own place");
         }
--- a/src/test/java/damsonseam/node/ShutdownTest.java
+++ b/src/test/java/damsonseam/node/ShutdownTest.java
@@ -6,7 +6,6 @@
 
 import damsonseam.node.NodeRig.Standing;
 import damsonseam.sip.SipMessage;
-import java.io.IOException;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -43,33 +42,24 @@
     }
 
     @Test
-    void anAnswerIsReadWholeThoughOctetsOfItsCallerAreStillUnderWay() throws Exception {
+    void aCallerThatStillTalksIsReadToItsEndAndNotReset() throws Exception {
         try (NodeRig rig = new NodeRig(1)) {
             SipSocket server = rig.accept(0);
             SipSocket caller = rig.caller();
             SipMessage invite = rig.invite();
             caller.send(invite);
-            SipMessage seen = server.next("INVITE");
             Thread ending = rig.drain();
-            Thread talks = new Thread(() -> {
-                try {
-                    // It acknowledges over and over until its connection is gone.
-                    while (true) {
-                        caller.send(SipMessage.request(SipMessage.ACK, invite.target(), invite.callId(), 1));
-                        Thread.sleep(1);
-                    }
-                } catch (IOException | InterruptedException e) {
-                    // Closed.
-                }
-            });
-            talks.start();
-            server.send(NodeRig.stands(seen));
-            boolean inOrder = caller.endsInOrder();
+            server.send(NodeRig.stands(server.next("INVITE")));
+            assertTrue(caller.endsInOrder());
+            assertEquals(200, caller.had().status());
+            // What a caller says behind the node's last word would be met by a reset, which destroys what is unread.
+            SipMessage ack = SipMessage.request(SipMessage.ACK, invite.target(), invite.callId(), 1);
+            long until = System.nanoTime() + 60_000_000;
+            while (System.nanoTime() < until) {
+                caller.send(ack);
+            }
             caller.close();
-            talks.join();
             ending.join();
-            assertTrue(inOrder, "the node closed before its caller had read to the end");
-            assertEquals(200, caller.had().status());
         }
     }
 
--- a/src/test/java/damsonseam/node/SipSocket.java
+++ b/src/test/java/damsonseam/node/SipSocket.java
@@ -85,6 +85,15 @@
         return null;
     }
 
+    /** The next message, which must be this method's and come within a second. */
+    SipMessage soon(String method) throws IOException {
+        SipMessage message = next(1_000);
+        if (message == null || !message.method().equals(method)) {
+            throw new AssertionError("no " + method + " but " + message);
+        }
+        return message;
+    }
+
     /** Whether the far end says nothing for so long. */
     boolean quiet(int millis) throws IOException {
         try {
