Front node: a silent server is not tested where the settings forbid tests

There one more connection is made: that it comes up, and what the server says first of all on it, tells the same. Test: ServerCrossingsTest with MayProbe false.

--- a/src/main/java/damsonseam/node/NodeServer.java
+++ b/src/main/java/damsonseam/node/NodeServer.java
@@ -73,7 +73,8 @@
         CallSettings calls = new CallSettings(config.settings());
         int links = Math.min(MOST_SERVER_CONNECTIONS, config.sockets() / SERVERS_SHARE);
         servers = new ServerLinks(loop, book, calls.reports(),
-                config.settings().connectTimeout().orElse(CONNECT_TIMEOUT), links, config.seed());
+                config.settings().connectTimeout().orElse(CONNECT_TIMEOUT), links, config.seed(),
+                module.mayProbe().orElse(false));
         // Callers may take a third of the descriptors; all that is left is room for those that only knock.
         callers = new CallerListener(loop, calls, book, servers, config.sockets() - OWN_DESCRIPTORS,
                 this::ready);
--- a/src/main/java/damsonseam/node/ServerLink.java
+++ b/src/main/java/damsonseam/node/ServerLink.java
@@ -652,7 +652,11 @@
             cut(call -> true);
         } else if (silent > TEST_AFTER && now - testedAt > TEST_AFTER / 2) {
             testedAt = now;
-            test(false);
+            if (shared.mayProbe()) {
+                test(false);
+            } else {
+                connect(); // That it comes up shows that the machine is there, and its server speaks first.
+            }
         }
     }
 
--- a/src/main/java/damsonseam/node/ServerLinks.java
+++ b/src/main/java/damsonseam/node/ServerLinks.java
@@ -28,9 +28,10 @@
      * @param connectTimeout how long a connection may take, in milliseconds
      * @param room whether there may be one more connection beside the first to each server
      * @param random spreads what fronts would else do in step
+     * @param mayProbe whether the settings allow tests
      */
     record Shared(Loop loop, CallBook book, ReportFields reports, double connectTimeout, BooleanSupplier room,
-            SplittableRandom random) { }
+            SplittableRandom random, boolean mayProbe) { }
 
     private final Shared shared;
     private final int mostConnections;
@@ -42,13 +43,14 @@
      *
      * @param mostConnections connections to all servers that are made at the most beside the first to each
      * @param seed for random numbers
+     * @param mayProbe whether the settings allow tests
      */
     ServerLinks(Loop loop, CallBook book, ReportFields reports, double connectTimeout, int mostConnections,
-            long seed) {
+            long seed, boolean mayProbe) {
         this.mostConnections = mostConnections;
         shared = new Shared(loop, book, reports, connectTimeout,
                 () -> links.values().stream().mapToInt(ServerLink::connections).sum() < mostConnections,
-                new SplittableRandom(seed));
+                new SplittableRandom(seed), mayProbe);
     }
 
     void start(Router router) {
--- a/src/test/java/damsonseam/node/NodeRig.java
+++ b/src/test/java/damsonseam/node/NodeRig.java
@@ -13,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.function.UnaryOperator;
 import org.awaitility.Awaitility;
 
 /** A front node on loopback with signalling servers and a coordinator that do as the test says. */
@@ -26,6 +27,7 @@
     final List<ServerSocket> servers = new ArrayList<>();
     final ServerSocket coordinator = listen();
     final NodeServer node;
+    private final UnaryOperator<String> changes;
     private final List<AutoCloseable> open = new ArrayList<>();
     private int calls;
 
@@ -36,11 +38,17 @@
 
     /** A node before these servers. */
     NodeRig(List<ServerSocket> before) throws Exception {
+        this(before, UnaryOperator.identity());
+    }
+
+    /** A node before these servers with some of the configuration's text changed. */
+    NodeRig(List<ServerSocket> before, UnaryOperator<String> changes) throws Exception {
         servers.addAll(before);
+        this.changes = changes;
         node = NodeServer.start(NodeConfig.of(new ObjectMapper().readTree(config(coordinator.getLocalPort()))));
     }
 
-    private static List<ServerSocket> listening(int count) throws IOException {
+    static List<ServerSocket> listening(int count) throws IOException {
         List<ServerSocket> sockets = new ArrayList<>();
         for (int i = 0; i < count; i++) {
             sockets.add(listen());
@@ -64,7 +72,7 @@
                     .append(servers.get(i).getLocalPort()).append("\",\"id\":\"s-0000000").append(i)
                     .append("\",\"phase\":\"ready\",\"up_since_ms\":0}");
         }
-        return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"seed\":\"8c1f30d27a5be964\","
+        return changes.apply("{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"seed\":\"8c1f30d27a5be964\","
                 + "\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":256},\"coordinator\":\"127.0.0.1:"
                 + coordinatorPort + "\",\"known\":{\"index\":1,\"updates\":[{\"index\":1,\"endpoints\":"
                 + "{\"complete\":true,\"members\":[" + members + "]}}]},\"settings\":{\"Balancers\":3,"
@@ -75,7 +83,7 @@
                 + "\"TipMultiple\":3.0,\"WarmWithin\":14000.0},\"Report\":{\"Fields\":[\"spare\",\"total\"]},"
                 + "\"RequestClasses\":[{\"Aim\":380.0,\"HardLimit\":3000.0,\"LateValue\":0.25,\"Name\":\"plain\","
                 + "\"Worth\":1.0},{\"Aim\":300.0,\"HardLimit\":2000.0,\"LateValue\":0.25,\"Name\":\"dear\","
-                + "\"Worth\":8.0}],\"Tick\":1.0}}";
+                + "\"Worth\":8.0}],\"Tick\":1.0}}");
     }
 
     /** A caller's connection to a node that is ready. */
--- a/src/test/java/damsonseam/node/ServerCrossingsTest.java
+++ b/src/test/java/damsonseam/node/ServerCrossingsTest.java
@@ -50,6 +50,24 @@
         }
     }
 
+    @Test
+    void aSilentServerIsNotTestedWhereTheSettingsForbidIt() throws Exception {
+        try (NodeRig rig = new NodeRig(NodeRig.listening(1),
+                text -> text.replace("\"MayProbe\":true", "\"MayProbe\":false"))) {
+            SipSocket server = rig.accept(0);
+            NodeRig.Standing s = rig.standing(server);
+            // Its silence is met by one more connection, on which it speaks, and the call stands on.
+            SipSocket second = rig.accept(0);
+            second.send(NodeRig.bye(s.invite().callId(), 16));
+            assertEquals("Q.850;cause=16", s.caller().next("BYE").headers().get("Reason"));
+            SipMessage said;
+            do {
+                said = server.next(100);
+                assertTrue(!said.method().equals(SipMessage.OPTIONS), "a test");
+            } while (server.hasUnread());
+        }
+    }
+
     @Test
     void anAcceptThatFailsKeepsNobodyWaitingForASecond() throws Exception {
         try (NodeRig rig = new NodeRig(1)) {
