--- a/src/main/java/damsonseam/node/Releases.java
+++ b/src/main/java/damsonseam/node/Releases.java
@@ -109,6 +109,7 @@
     void heard(CallerLink link, String id) {
         Owed release = owed.get(id);
         if (release != null && (release.on == link || release.call.caller == link)) {
+            LOG.atDebug().addKeyValue("id", id).addKeyValue("said", release.said).log("release heard");
             proofs = true;
             owed.remove(id);
         }
