Front node: a failed test is no word for the calls that stand at a server

The call stood at a draining server, was over 8 s before, and n49 released it 0.5 s too late, as 'silent server'. A third play logged each word of draining servers: from 2 s after its drain the server sent no report and no release any more, for 4.6 s its only words were 503 to our OPTIONS (at 21.4 and 23.7 s), then its connections were reset one by one, each as it was asked, a second apart.

Now a failed test does not end a silence, and each connection is asked at once, also when the list drops the server. Tests: ServerCrossingsTest, two new.

--- a/src/main/java/damsonseam/node/ServerLink.java
+++ b/src/main/java/damsonseam/node/ServerLink.java
@@ -193,6 +193,9 @@
             wanted = false;
             endUnsent();
             closeIfUnused();
+            if (!standing.isEmpty()) {
+                testAll(now());
+            }
         }
     }
 
@@ -473,7 +476,9 @@
 
     void received(ServerConnection on, SipMessage message) {
         double now = now();
-        heardAt = now;
+        if (!failedTest(message)) {
+            heardAt = now;
+        }
         router.catchUp(now);
         router.clock(now);
         Report report = report(message);
@@ -488,6 +493,15 @@
         shared.loop().kick();
     }
 
+    /**
+     * A process that has left its calls may go on to fail tests until it ends: that says nothing for them, and without
+     * another word it is as silent as one that is not there.
+     */
+    private static boolean failedTest(SipMessage message) {
+        return !message.isRequest() && message.cseqMethod().equals(SipMessage.OPTIONS)
+                && message.status() != SipMessage.OK;
+    }
+
     private Report report(SipMessage message) {
         String text = message.headers().get("X-Occupancy");
         return text == null ? Report.NONE : shared.reports().read(text, IllegalArgumentException::new);
@@ -620,6 +634,11 @@
             }
             return;
         }
+        test(asked, on);
+    }
+
+    private void test(boolean asked, ServerConnection on) {
+        double now = now();
         String id = String.format("%016x", (long) server.id().hashCode() << 32 | testNumber++ & 0xffffffffL);
         tests.put(id, new Test(now, asked, on));
         on.send(SipMessage.request(SipMessage.OPTIONS, PING, id, 1), null);
@@ -651,12 +670,20 @@
             List.copyOf(connections).forEach(ServerConnection::close);
             cut(call -> true);
         } else if (silent > TEST_AFTER && now - testedAt > TEST_AFTER / 2) {
-            testedAt = now;
-            if (shared.mayProbe()) {
-                test(false);
-            } else {
-                connect(); // That it comes up shows that the machine is there, and its server speaks first.
-            }
+            testAll(now);
+        }
+    }
+
+    /**
+     * Finds out whether the process is there: of one that died, a connection on which nothing is sent may know nothing,
+     * so that each is asked.
+     */
+    private void testAll(double now) {
+        testedAt = now;
+        if (shared.mayProbe()) {
+            List.copyOf(connections).forEach(c -> test(false, c));
+        } else {
+            connect(); // That it comes up shows that the machine is there, and its server speaks first.
         }
     }
 
--- a/src/test/java/damsonseam/node/ServerCrossingsTest.java
+++ b/src/test/java/damsonseam/node/ServerCrossingsTest.java
@@ -68,6 +68,48 @@
         }
     }
 
+    @Test
+    void callsAtAServerThatOnlyFailsTestsAreReleasedWithinTheTimeAllowed() throws Exception {
+        try (NodeRig rig = new NodeRig(1)) {
+            SipSocket server = rig.accept(0);
+            NodeRig.Standing s = rig.standing(server);
+            Thread fails = new Thread(() -> {
+                try {
+                    for (SipMessage m = server.next("OPTIONS"); m != null; m = server.next("OPTIONS")) {
+                        server.send(SipMessage.answer(503, "Service Unavailable", m.callId(), m.cseq()));
+                    }
+                } catch (IOException e) {
+                    // Closed by the node, as it should be.
+                }
+            });
+            long from = System.nanoTime();
+            fails.start();
+            SipMessage bye = s.caller().next(7_500);
+            assertEquals(s.invite().callId(), bye.callId());
+            assertEquals("Q.850;cause=41", bye.headers().get("Reason"));
+            assertTrue(System.nanoTime() - from < 7_500_000_000L);
+            fails.join();
+        }
+    }
+
+    @Test
+    void ofAServerThatTheListDropsEachConnectionIsAskedAtOnce() throws Exception {
+        try (NodeRig rig = new NodeRig(1)) {
+            NodeRig.Coordinator coordinator = rig.coordinator();
+            SipSocket first = rig.accept(0);
+            NodeRig.Standing s = rig.standing(first);
+            // A second set-up while one is out makes the node open a second connection.
+            s.caller().send(rig.invite());
+            SipMessage out = first.next("INVITE");
+            s.caller().send(rig.invite());
+            SipSocket second = rig.accept(0);
+            first.send(SipMessage.answer(503, "Full", out.callId(), out.cseq()));
+            coordinator.frame(2, 2, 0, rig.servers.get(0).getLocalPort(), 2);
+            assertNotNull(first.next("OPTIONS"));
+            assertNotNull(second.next("OPTIONS"));
+        }
+    }
+
     @Test
     void anAcceptThatFailsKeepsNobodyWaitingForASecond() throws Exception {
         try (NodeRig rig = new NodeRig(1)) {
