--- a/review/src/Lab.java
+++ b/review/src/Lab.java
@@ -14,6 +14,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -25,6 +26,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** Stand-ins for signalling servers, coordinator and callers, and the start of front nodes by the deploy file. */
 final class Lab implements AutoCloseable {
@@ -361,9 +363,13 @@
     /** A coordinator that sends each event at once on all open connections, and an empty frame each second. */
     final class Coordinator {
         static final int DRAINING = 1;
+        /** How long this coordinator takes from the request of a new watch to its first frame. */
+        volatile long serveAfterMs;
+
         final ServerSocket socket = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
         private final List<Link> links = new ArrayList<>();
         private final List<byte[]> frames = new ArrayList<>();
+        private final AtomicInteger requests = new AtomicInteger();
 
         Coordinator() throws IOException {
             start(() -> {
@@ -375,15 +381,22 @@
             timers.scheduleAtFixedRate(() -> push(frame(0, new byte[0])), 1, 1, TimeUnit.SECONDS);
         }
 
+        int requests() {
+            return requests.get();
+        }
+
         /** The first event, the whole list, is in the configuration. */
         private synchronized long lastNumber() {
             return 1 + frames.size();
         }
 
-        private void serve(Link link) throws IOException {
+        private void serve(Link link) throws IOException, InterruptedException {
             try (Socket closing = link.socket) {
                 DataInputStream in = new DataInputStream(closing.getInputStream());
                 long last = in.readLong();
+                requests.incrementAndGet();
+                log("coordinator", "watch asked for, after event " + last);
+                Thread.sleep(serveAfterMs);
                 synchronized (this) {
                     for (long number = Math.max(2, last + 1); number <= lastNumber(); number++) {
                         link.send(frames.get((int) number - 2));
@@ -414,6 +427,22 @@
             links.removeIf(link -> !link.send(frame));
         }
 
+        /** Ends this coordinator as the platform does: no new connection, and the open ones close after 1.5 s. */
+        void retire() throws IOException {
+            socket.close();
+            timers.schedule(
+                    () -> {
+                        synchronized (this) {
+                            for (Link link : links) {
+                                link.socket.close();
+                            }
+                        }
+                        return null;
+                    },
+                    1500,
+                    TimeUnit.MILLISECONDS);
+        }
+
         /** Adds an event about one server and returns the Unix time at which it was written to all open watches. */
         synchronized long tell(Server server, int state) {
             byte[] entry = ByteBuffer.allocate(27)
@@ -443,6 +472,7 @@
         final String name;
         final InetSocketAddress address;
         final Process process;
+        private final String config;
 
         Node(String name, Coordinator coordinator, List<Server> servers, int sockets) throws Exception {
             this.name = name;
@@ -450,8 +480,9 @@
                 address = new InetSocketAddress(InetAddress.getLoopbackAddress(), free.getLocalPort());
             }
             String listen = "127.0.0.1:" + address.getPort();
-            Path config = temp.resolve(name + ".json");
-            Files.writeString(config, config(listen, coordinator, servers, sockets));
+            Path file = temp.resolve(name + ".json");
+            config = config(listen, coordinator, servers, sockets);
+            Files.writeString(file, config);
             String run = Files.readAllLines(root.resolve("deploy/balancer.toml")).stream()
                     .filter(line -> line.startsWith("run = "))
                     .map(line -> line.substring(line.indexOf('"') + 1, line.lastIndexOf('"')))
@@ -461,7 +492,7 @@
                     .directory(root.toFile())
                     .redirectOutput(ProcessBuilder.Redirect.DISCARD)
                     .redirectError(temp.resolve(name + ".log").toFile());
-            builder.environment().put("NODE_CONFIG", config.toString());
+            builder.environment().put("NODE_CONFIG", file.toString());
             builder.environment().put("NODE_NAME", name);
             builder.environment().put("NODE_LISTEN", listen);
             process = builder.start();
@@ -492,6 +523,17 @@
             finish(2, "could not run: front node " + name + " did not become ready");
         }
 
+        /** Replaces the configuration by one that names another coordinator, and sends SIGHUP. */
+        void moveCoordinator(Coordinator coordinator) throws IOException, InterruptedException {
+            Path next = temp.resolve(name + ".next");
+            Files.writeString(next, config.replaceFirst(
+                    "\"coordinator\":\"[^\"]*\"",
+                    "\"coordinator\":\"127.0.0.1:" + coordinator.socket.getLocalPort() + "\""));
+            Files.move(next, temp.resolve(name + ".json"), StandardCopyOption.ATOMIC_MOVE);
+            log("platform", "SIGHUP to " + name);
+            signal("HUP");
+        }
+
         void signal(String signal) throws IOException, InterruptedException {
             new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
         }
