--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 # Exit code 1: the rule was broken, 0: it held, 2: the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")" || exit 2
-exec java -cp ../build AnswerAfterStall .
+exec java -cp ../build ReleaseIgnored .
--- a/review/src/Lab.java
+++ b/review/src/Lab.java
@@ -14,13 +14,14 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
@@ -241,6 +242,17 @@
         /** Releases that were written on no open connection: they go out on the next one. */
         final Map<String, byte[]> unsent = new ConcurrentHashMap<>();
 
+        /** When the release of a call was first written on an open connection. */
+        final Map<String, Long> releasedAt = new ConcurrentHashMap<>();
+        /** Releases for the next connection that is opened. */
+        private final Map<String, byte[]> forNextLink = new ConcurrentHashMap<>();
+        /** Connections on which an answer stopped short: they stay open and are of no use any more. */
+        private final Set<Link> useless = ConcurrentHashMap.newKeySet();
+        /** Share of the set-ups under which the connection is reset, and of the answers that stop short. */
+        volatile double resetShare;
+
+        volatile double stopShare;
+
         final long answerMs;
         final long meanHoldMs;
         private final Random random = new Random();
@@ -278,9 +290,14 @@
                     "X-Occupancy",
                     occupancy()));
             links.add(link);
+            forNextLink.forEach((callId, bye) -> {
+                forNextLink.remove(callId);
+                link.send(bye);
+            });
             unsent.forEach((callId, bye) -> {
                 if (link.send(bye)) {
                     unsent.remove(callId);
+                    releasedAt.putIfAbsent(callId, System.currentTimeMillis());
                 }
             });
             try (Socket closing = link.socket) {
@@ -297,6 +314,11 @@
             String callId = message.callId();
             switch (message.method()) {
                 case "INVITE" -> {
+                    if (random.nextDouble() < resetShare) {
+                        log(id, "resets the connection under " + callId);
+                        reset(link);
+                        return;
+                    }
                     arrivals.add(new Arrival(System.currentTimeMillis(), callId));
                     log(id, "INVITE " + callId);
                     pending.put(callId, true);
@@ -311,20 +333,41 @@
                     standing.remove(callId);
                     link.send(response(200, message, ""));
                 }
-                case "OPTIONS" -> link.send(response(200, message, "", "X-Occupancy", occupancy()));
+                case "OPTIONS" -> {
+                    if (useless.contains(link)) {
+                        return;
+                    }
+                    link.send(response(200, message, "", "X-Occupancy", occupancy()));
+                }
                 default -> {}
             }
         }
 
+        private static void reset(Link link) {
+            try {
+                link.socket.setSoLinger(true, 0);
+                link.socket.close();
+            } catch (IOException e) {
+                // It is closed already.
+            }
+        }
+
         private void answer(Link link, Message invite) {
             String callId = invite.callId();
-            if (pending.remove(callId) == null || !links.contains(link)) {
+            if (pending.remove(callId) == null || !links.contains(link) || useless.contains(link)) {
                 return; // Given up, or given up with its connection.
             }
+            if (random.nextDouble() < stopShare) {
+                log(id, "answer stops short " + callId);
+                useless.add(link);
+                byte[] answer = response(200, invite, "answer of " + id + " for " + callId + "\r\n");
+                link.send(Arrays.copyOf(answer, answer.length - 10));
+                return;
+            }
             standing.put(callId, link);
             log(id, "200 " + callId);
             link.send(response(200, invite, "answer of " + id + " for " + callId + "\r\n", "X-Occupancy", occupancy()));
-            double hold = Math.max(200, -Math.log(1 - random.nextDouble()) * meanHoldMs);
+            double hold = Math.max(200, Math.min(5, -Math.log(1 - random.nextDouble())) * meanHoldMs);
             timers.schedule(() -> release(callId), (long) hold, TimeUnit.MILLISECONDS);
         }
 
@@ -344,17 +387,19 @@
                     "Q.850;cause=16",
                     "X-Occupancy",
                     occupancy());
-            log(id, "sends BYE " + callId);
-            if (links.contains(own) && own.send(bye)) {
-                return;
-            }
-            unsent.put(callId, bye);
-            for (Link link : links) {
-                if (link.send(bye)) {
-                    unsent.remove(callId);
+            // On the connection of its set-up, otherwise on any open one, and also on the next that is opened.
+            List<Link> order = new ArrayList<>(List.of(own));
+            order.addAll(links);
+            forNextLink.put(callId, bye);
+            for (Link link : order) {
+                if (links.contains(link) && !useless.contains(link) && link.send(bye)) {
+                    releasedAt.putIfAbsent(callId, System.currentTimeMillis());
+                    log(id, "BYE " + callId + (link == own ? " on its connection" : " on another connection"));
                     return;
                 }
             }
+            log(id, "BYE " + callId + " waits for a connection");
+            unsent.put(callId, bye);
         }
     }
 
@@ -427,22 +472,6 @@
             links.removeIf(link -> !link.send(frame));
         }
 
-        /** Ends this coordinator as the platform does: no new connection, and the open ones close after 1.5 s. */
-        void retire() throws IOException {
-            socket.close();
-            timers.schedule(
-                    () -> {
-                        synchronized (this) {
-                            for (Link link : links) {
-                                link.socket.close();
-                            }
-                        }
-                        return null;
-                    },
-                    1500,
-                    TimeUnit.MILLISECONDS);
-        }
-
         /** Adds an event about one server and returns the Unix time at which it was written to all open watches. */
         synchronized long tell(Server server, int state) {
             byte[] entry = ByteBuffer.allocate(27)
@@ -472,7 +501,6 @@
         final String name;
         final InetSocketAddress address;
         final Process process;
-        private final String config;
 
         Node(String name, Coordinator coordinator, List<Server> servers, int sockets) throws Exception {
             this.name = name;
@@ -481,8 +509,7 @@
             }
             String listen = "127.0.0.1:" + address.getPort();
             Path file = temp.resolve(name + ".json");
-            config = config(listen, coordinator, servers, sockets);
-            Files.writeString(file, config);
+            Files.writeString(file, config(listen, coordinator, servers, sockets));
             String run = Files.readAllLines(root.resolve("deploy/balancer.toml")).stream()
                     .filter(line -> line.startsWith("run = "))
                     .map(line -> line.substring(line.indexOf('"') + 1, line.lastIndexOf('"')))
@@ -523,21 +550,6 @@
             finish(2, "could not run: front node " + name + " did not become ready");
         }
 
-        /** Replaces the configuration by one that names another coordinator, and sends SIGHUP. */
-        void moveCoordinator(Coordinator coordinator) throws IOException, InterruptedException {
-            Path next = temp.resolve(name + ".next");
-            Files.writeString(next, config.replaceFirst(
-                    "\"coordinator\":\"[^\"]*\"",
-                    "\"coordinator\":\"127.0.0.1:" + coordinator.socket.getLocalPort() + "\""));
-            Files.move(next, temp.resolve(name + ".json"), StandardCopyOption.ATOMIC_MOVE);
-            log("platform", "SIGHUP to " + name);
-            signal("HUP");
-        }
-
-        void signal(String signal) throws IOException, InterruptedException {
-            new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
-        }
-
         void kill() {
             process.destroyForcibly(); // SIGKILL also ends a stopped process.
         }
@@ -590,6 +602,7 @@
         volatile long sentAt;
 
         volatile long answeredAt;
+        volatile long releasedAt;
         volatile int status;
         volatile int answers;
         volatile boolean connectionEnded;
@@ -699,6 +712,11 @@
         private void handle(Link link, Message message) {
             if (message.method().equals("BYE")) {
                 link.send(response(200, message, ""));
+                Call over = byId.get(message.callId());
+                if (over != null && over.releasedAt == 0) {
+                    over.releasedAt = System.currentTimeMillis();
+                    log("caller", "BYE " + over.id);
+                }
                 return;
             }
             Call call = byId.get(message.callId());
