--- a/review/src/Lab.java
+++ b/review/src/Lab.java
@@ -207,6 +207,11 @@
         final Socket socket;
         private final OutputStream out;
 
+        /** The front node's or caller's port, which names the connection in the record. */
+        String name() {
+            return "connection " + socket.getPort();
+        }
+
         Link(Socket socket) throws IOException {
             this.socket = socket;
             socket.setTcpNoDelay(true);
@@ -238,6 +243,9 @@
         final List<Arrival> arrivals = new CopyOnWriteArrayList<>();
         final List<Link> links = new CopyOnWriteArrayList<>();
         final Map<String, Link> standing = new ConcurrentHashMap<>();
+        /** The connection of each answered call, kept when the call is over. */
+        private final Map<String, Link> standingOn = new ConcurrentHashMap<>();
+
         final Map<String, Boolean> pending = new ConcurrentHashMap<>();
         /** Releases that were written on no open connection: they go out on the next one. */
         final Map<String, byte[]> unsent = new ConcurrentHashMap<>();
@@ -293,6 +301,9 @@
             forNextLink.forEach((callId, bye) -> {
                 forNextLink.remove(callId);
                 link.send(bye);
+                if (!links.contains(standingOn.get(callId)) || useless.contains(standingOn.get(callId))) {
+                    log(id, "sends BYE " + callId + " on the new " + link.name());
+                }
             });
             unsent.forEach((callId, bye) -> {
                 if (link.send(bye)) {
@@ -315,12 +326,12 @@
             switch (message.method()) {
                 case "INVITE" -> {
                     if (random.nextDouble() < resetShare) {
-                        log(id, "resets the connection under " + callId);
+                        log(id, "resets " + link.name() + " under " + callId);
                         reset(link);
                         return;
                     }
                     arrivals.add(new Arrival(System.currentTimeMillis(), callId));
-                    log(id, "INVITE " + callId);
+                    log(id, "INVITE " + callId + " on " + link.name());
                     pending.put(callId, true);
                     timers.schedule(() -> answer(link, message), answerMs, TimeUnit.MILLISECONDS);
                 }
@@ -358,14 +369,15 @@
                 return; // Given up, or given up with its connection.
             }
             if (random.nextDouble() < stopShare) {
-                log(id, "answer stops short " + callId);
+                log(id, "answer stops short " + callId + " on " + link.name());
                 useless.add(link);
                 byte[] answer = response(200, invite, "answer of " + id + " for " + callId + "\r\n");
                 link.send(Arrays.copyOf(answer, answer.length - 10));
                 return;
             }
             standing.put(callId, link);
-            log(id, "200 " + callId);
+            standingOn.put(callId, link);
+            log(id, "200 " + callId + " on " + link.name());
             link.send(response(200, invite, "answer of " + id + " for " + callId + "\r\n", "X-Occupancy", occupancy()));
             double hold = Math.max(200, Math.min(5, -Math.log(1 - random.nextDouble())) * meanHoldMs);
             timers.schedule(() -> release(callId), (long) hold, TimeUnit.MILLISECONDS);
@@ -394,7 +406,7 @@
             for (Link link : order) {
                 if (links.contains(link) && !useless.contains(link) && link.send(bye)) {
                     releasedAt.putIfAbsent(callId, System.currentTimeMillis());
-                    log(id, "BYE " + callId + (link == own ? " on its connection" : " on another connection"));
+                    log(id, "sends BYE " + callId + " on " + link.name() + (link == own ? "" : ", not its own"));
                     return;
                 }
             }
