Front node: probes, outcomes, attempts and connecting in classes of their own

The gathered flush stood twice, in CallerConnection and ServerConnection. Change: ServerProbes, ServerOutcomes, ServerAttempt, ServerConnector and SipWriter; no behaviour changes.

--- a/src/main/java/damsonseam/node/CallerConnection.java
+++ b/src/main/java/damsonseam/node/CallerConnection.java
@@ -50,6 +50,7 @@
     private final CallerListener listener;
     private final SocketChannel channel;
     private final SipDecoder decoder;
+    private final SipWriter writer;
     /** Calls whose INVITE arrived here and has no final response yet; bounded by the core's call table. */
     private final Set<NodeCall> pendingCalls = new HashSet<>();
 
@@ -63,12 +64,12 @@
 
     private boolean messageReceived;
     private boolean inviteReceived;
-    private boolean flushScheduled;
 
     CallerConnection(CallerListener listener, SocketChannel channel, SipDecoder decoder) {
         this.listener = listener;
         this.channel = channel;
         this.decoder = decoder;
+        writer = new SipWriter(channel);
     }
 
     // ---- Connection -------------------------------------------------------------------------------------
@@ -105,26 +106,12 @@
                 && (now - lastReceivedMs > limitMs || messageOverdue);
     }
 
-    /**
-     * Writes a message, to be flushed with all others of this event-loop iteration. {@code onWritten} is notified
-     * whether the operating system took it.
-     */
+    /** Writes a message; {@code onWritten} is notified whether the operating system took it, unless it is null. */
     void send(SipMessage message, Consumer<Boolean> onWritten) {
-        var future = channel.write(SipEncoder.encode(channel.alloc(), message));
-        if (onWritten != null) {
-            future.addListener(completed -> onWritten.accept(completed.isSuccess()));
-        }
+        writer.write(message, onWritten);
         if (!channel.isWritable()) {
             // Bounds the memory used for a caller that sends requests and does not read the responses.
             close("does not read responses");
-            return;
-        }
-        if (!flushScheduled) {
-            flushScheduled = true;
-            channel.eventLoop().execute(() -> {
-                flushScheduled = false;
-                channel.flush();
-            });
         }
     }
 
--- a/src/main/java/damsonseam/node/ServerConnection.java
+++ b/src/main/java/damsonseam/node/ServerConnection.java
@@ -1,7 +1,6 @@
 package damsonseam.node;
 
 import damsonseam.sip.SipDecoder;
-import damsonseam.sip.SipEncoder;
 import damsonseam.sip.SipFormatException;
 import damsonseam.sip.SipMessage;
 import io.netty.channel.Channel;
@@ -20,8 +19,8 @@
     private final ServerEndpoint endpoint;
     private final Channel channel;
     private final SipDecoder decoder;
+    private final SipWriter writer;
     private int outstandingAttempts;
-    private boolean flushScheduled;
     private boolean suspect;
     private double lastReceivedMs;
 
@@ -29,6 +28,7 @@
         this.endpoint = endpoint;
         this.channel = channel;
         this.decoder = decoder;
+        writer = new SipWriter(channel);
     }
 
     /** Returns the number of attempts assigned to this connection that have no outcome yet. */
@@ -59,22 +59,9 @@
         return decoder.isMidMessage() && nowMs - lastReceivedMs > limitMs;
     }
 
-    /**
-     * Writes a message, to be flushed with all others of this event-loop iteration. {@code onWritten} is notified
-     * whether the operating system took it.
-     */
+    /** Writes a message; {@code onWritten} is notified whether the operating system took it, unless it is null. */
     void send(SipMessage message, Consumer<Boolean> onWritten) {
-        var future = channel.write(SipEncoder.encode(channel.alloc(), message));
-        if (onWritten != null) {
-            future.addListener(f -> onWritten.accept(f.isSuccess()));
-        }
-        if (!flushScheduled) {
-            flushScheduled = true;
-            channel.eventLoop().execute(() -> {
-                flushScheduled = false;
-                channel.flush();
-            });
-        }
+        writer.write(message, onWritten);
     }
 
     void close() {
--- a/src/main/java/damsonseam/node/ServerEndpoint.java
+++ b/src/main/java/damsonseam/node/ServerEndpoint.java
@@ -4,18 +4,10 @@
 import damsonseam.RoutingPolicy.RejectReason;
 import damsonseam.RoutingPolicy.ServerLoadReport;
 import damsonseam.RoutingPolicy.ServerState;
-import damsonseam.config.Endpoint;
 import damsonseam.core.Router;
 import damsonseam.core.ServerList;
-import damsonseam.sip.SipDecoder;
 import damsonseam.sip.SipHeaders;
 import damsonseam.sip.SipMessage;
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.WriteBufferWaterMark;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.ConnectException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -44,8 +36,6 @@
 
     private static final double INITIAL_BACKOFF_MS = 50;
     private static final double MAX_BACKOFF_MS = 1_000;
-    /** Bytes waiting to be sent beyond which a server is considered not to read. */
-    private static final int MAX_UNSENT_BYTES = 256 << 10;
     /** Limit of the attempts, and of the BYE requests, that wait for a connection. */
     private static final int MAX_QUEUED_REQUESTS = 1_000;
     /** Cancelled attempts that are remembered, so that a 200 which crossed the CANCEL is followed by a BYE. */
@@ -60,14 +50,12 @@
     /** How long a message may stay unfinished: longer than any TCP retransmission takes. */
     private static final double STUCK_AFTER_MS = 1_000;
 
-    private static final String PROBE_URI = "sip:ping@net";
-
     private final ServerEndpoints.EndpointContext context;
     private final Router router;
     private ServerList.Server server;
     private final List<ServerConnection> connections = new ArrayList<>();
-    private final Map<String, Attempt> attempts = new HashMap<>();
-    private final ArrayDeque<Attempt> queuedAttempts = new ArrayDeque<>();
+    private final Map<String, ServerAttempt> attempts = new HashMap<>();
+    private final ArrayDeque<ServerAttempt> queuedAttempts = new ArrayDeque<>();
     private final Set<NodeCall> establishedCalls = new HashSet<>();
     private final Map<String, String> cancelledAttempts = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
@@ -77,7 +65,7 @@
             return size() > MAX_CANCELLED_ATTEMPTS;
         }
     };
-    private final Map<String, Probe> probes = new HashMap<>();
+    private final ServerProbes probes;
     /** BYE requests that wait for a connection. */
     private final ArrayDeque<SipMessage> queuedByes = new ArrayDeque<>();
 
@@ -97,46 +85,16 @@
     private double backoffMs = INITIAL_BACKOFF_MS;
     private double lastReceivedMs;
     private double lastProbedMs;
-    private long probeNumber;
-
-    /** An attempt without an outcome: it waits for a connection, is assigned to one, or has been sent on it. */
-    private static final class Attempt {
-        final NodeCall nodeCall;
-        final long recordId;
-        final int index;
-        final double giveUpAtMs;
-        ServerConnection connection;
-        boolean sent;
-        double sentAtMs;
-
-        Attempt(NodeCall nodeCall, long recordId, int index, double giveUpAtMs) {
-            this.nodeCall = nodeCall;
-            this.recordId = recordId;
-            this.index = index;
-            this.giveUpAtMs = giveUpAtMs;
-        }
-
-        String key() {
-            return ServerEndpoint.key(nodeCall.callId, index);
-        }
-    }
-
-    /** An OPTIONS request without a response yet; the policy is notified of the outcome if it requested the probe. */
-    private record Probe(double sentAtMs, boolean requested, ServerConnection connection) {}
 
     ServerEndpoint(ServerEndpoints.EndpointContext context, Router router, ServerList.Server server) {
         this.context = context;
         this.router = router;
         this.server = server;
+        probes = new ServerProbes(context, router, server.id());
         lastReceivedMs = context.loop().now();
         connect();
     }
 
-    /** Returns the key of an attempt: the attempts of one call differ in the sequence number of CSeq. */
-    private static String key(String callId, long index) {
-        return callId + "/" + index;
-    }
-
     String id() {
         return server.id();
     }
@@ -251,29 +209,11 @@
             return connecting;
         }
         connecting = true;
-        new Bootstrap()
-                .group(context.loop().eventLoop())
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.ALLOCATOR, NodeServer.ALLOCATOR)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) context.connectTimeoutMs())
-                .option(
-                        ChannelOption.WRITE_BUFFER_WATER_MARK,
-                        new WriteBufferWaterMark(MAX_UNSENT_BYTES / 2, MAX_UNSENT_BYTES))
-                .handler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel channel) {
-                        SipDecoder decoder = new SipDecoder();
-                        channel.pipeline()
-                                .addLast(decoder, new ServerConnection(ServerEndpoint.this, channel, decoder));
-                    }
-                })
-                .connect(Endpoint.parse(server.address()).toSocketAddress())
-                .addListener(future -> {
-                    if (!future.isSuccess()) {
-                        onConnectFailed(future.cause());
-                    }
-                });
+        ServerConnector.connect(context, this).addListener(future -> {
+            if (!future.isSuccess()) {
+                onConnectFailed(future.cause());
+            }
+        });
         return true;
     }
 
@@ -284,7 +224,7 @@
         backoffMs = INITIAL_BACKOFF_MS;
         connections.add(connection);
         lastReceivedMs = Math.max(lastReceivedMs, now() - PROBE_AFTER_MS);
-        for (Attempt attempt = queuedAttempts.poll(); attempt != null; attempt = queuedAttempts.poll()) {
+        for (ServerAttempt attempt = queuedAttempts.poll(); attempt != null; attempt = queuedAttempts.poll()) {
             assign(attempt, connection);
         }
         if (connectAgain) {
@@ -325,7 +265,7 @@
         connectAgain = connecting;
         connect();
         router.advanceClock(now());
-        for (Attempt attempt : List.copyOf(attempts.values())) {
+        for (ServerAttempt attempt : List.copyOf(attempts.values())) {
             if (attempt.connection == connection && attempt.sent) {
                 attempt.nodeCall.brokenAttemptServer = this;
                 endAttempt(attempt, AttemptStatus.RESET, RejectReason.NONE, ServerLoadReport.NONE);
@@ -333,14 +273,7 @@
                 reassign(attempt);
             }
         }
-        probes.entrySet().removeIf(entry -> {
-            boolean lost = entry.getValue().connection == connection;
-            if (lost && entry.getValue().requested) {
-                router.probeCompleted(
-                        now(), server.id(), true, false, now() - entry.getValue().sentAtMs, ServerLoadReport.NONE);
-            }
-            return lost;
-        });
+        probes.onDisconnected(connection, now());
         if (connections.isEmpty() && !active) {
             cutCalls(call -> true);
         }
@@ -380,7 +313,7 @@
 
     /** Starts an attempt, which may wait for a connection first; returns false if it cannot be sent. */
     boolean setUp(NodeCall nodeCall, long recordId, int index, double giveUpAtMs) {
-        Attempt attempt = new Attempt(nodeCall, recordId, index, giveUpAtMs);
+        ServerAttempt attempt = new ServerAttempt(nodeCall, recordId, index, giveUpAtMs);
         if (!active || !tryAssignConnection(attempt)) {
             return false;
         }
@@ -388,7 +321,7 @@
         return true;
     }
 
-    private boolean tryAssignConnection(Attempt attempt) {
+    private boolean tryAssignConnection(ServerAttempt attempt) {
         ServerConnection connection = leastLoadedConnection(false);
         if (connection == null && queuedAttempts.size() < MAX_QUEUED_REQUESTS && connect()) {
             queuedAttempts.add(attempt);
@@ -406,7 +339,7 @@
     }
 
     /** Assigns another connection to an attempt whose connection closed before the set-up was sent. */
-    private void reassign(Attempt attempt) {
+    private void reassign(ServerAttempt attempt) {
         attempt.connection = null;
         if (!active || !tryAssignConnection(attempt)) {
             endAttempt(attempt, AttemptStatus.UNREACHABLE, RejectReason.NONE, ServerLoadReport.NONE);
@@ -417,7 +350,7 @@
      * Assigns a connection to an attempt. The set-up is sent after the sockets have been read once more, since its
      * caller may have abandoned the call by then.
      */
-    private void assign(Attempt attempt, ServerConnection connection) {
+    private void assign(ServerAttempt attempt, ServerConnection connection) {
         attempt.connection = connection;
         connection.adjustOutstandingAttempts(1);
         context.loop().runAfterReads(() -> {
@@ -427,7 +360,7 @@
         });
     }
 
-    private void sendInvite(Attempt attempt) {
+    private void sendInvite(ServerAttempt attempt) {
         attempt.sent = true;
         attempt.sentAtMs = now();
         NodeCall call = attempt.nodeCall;
@@ -443,7 +376,7 @@
 
     /** Cancels an attempt; the core is notified when the operating system has taken the CANCEL. */
     void cancel(String callId, int index) {
-        Attempt attempt = attempts.remove(key(callId, index));
+        ServerAttempt attempt = attempts.remove(ServerAttempt.key(callId, index));
         if (attempt == null) {
             return;
         }
@@ -466,7 +399,7 @@
                 });
     }
 
-    private void endAttempt(Attempt attempt, AttemptStatus status, RejectReason reason, ServerLoadReport report) {
+    private void endAttempt(ServerAttempt attempt, AttemptStatus status, RejectReason reason, ServerLoadReport report) {
         attempts.remove(attempt.key());
         if (attempt.connection != null) {
             attempt.connection.adjustOutstandingAttempts(-1);
@@ -477,7 +410,7 @@
 
     /** Ends the attempts that wait for a connection as unreachable. */
     private void failQueued() {
-        for (Attempt attempt = queuedAttempts.poll(); attempt != null; attempt = queuedAttempts.poll()) {
+        for (ServerAttempt attempt = queuedAttempts.poll(); attempt != null; attempt = queuedAttempts.poll()) {
             endAttempt(attempt, AttemptStatus.UNREACHABLE, RejectReason.NONE, ServerLoadReport.NONE);
         }
     }
@@ -485,7 +418,7 @@
     /** Ends all attempts that have not been sent as unreachable, since the server accepts no new set-ups. */
     private void failUnsent() {
         failQueued();
-        for (Attempt attempt : List.copyOf(attempts.values())) {
+        for (ServerAttempt attempt : List.copyOf(attempts.values())) {
             if (!attempt.sent) {
                 endAttempt(attempt, AttemptStatus.UNREACHABLE, RejectReason.NONE, ServerLoadReport.NONE);
             }
@@ -528,15 +461,21 @@
         router.fireOverdueTimers(now);
         router.advanceClock(now);
         ServerLoadReport report = parseLoadReport(message);
-        if (!message.isRequest()) {
+        if (message.isRequest()) {
+            onRequest(connection, message, report, now);
+        } else {
             onResponse(connection, message, report, now);
-        } else if (message.method().equals(SipMessage.NOTIFY)) {
+        }
+        context.loop().scheduleBatchEnd();
+    }
+
+    private void onRequest(ServerConnection connection, SipMessage message, ServerLoadReport report, double now) {
+        if (message.method().equals(SipMessage.NOTIFY)) {
             router.probeCompleted(now, server.id(), false, true, 0, report);
         } else if (message.method().equals(SipMessage.BYE)) {
             connection.send(SipMessage.response(SipMessage.OK, "OK", message.callId(), message.cseq()), null);
             onBye(connection, message, report);
         }
-        context.loop().scheduleBatchEnd();
     }
 
     /**
@@ -561,18 +500,14 @@
             return;
         }
         if (message.cseqMethod().equals(SipMessage.OPTIONS)) {
-            Probe probe = probes.remove(String.valueOf(message.callId()));
-            if (probe != null && probe.requested) {
-                router.probeCompleted(
-                        now, server.id(), true, message.status() == SipMessage.OK, now - probe.sentAtMs, report);
-            }
+            probes.onResponse(message, report, now);
             return;
         }
         if (!message.cseqMethod().equals(SipMessage.INVITE)) {
             return;
         }
-        String key = key(message.callId(), message.cseqNumber() - 1);
-        Attempt attempt = attempts.get(key);
+        String key = ServerAttempt.key(message.callId(), message.cseqNumber() - 1);
+        ServerAttempt attempt = attempts.get(key);
         if (attempt == null || attempt.connection != connection || !attempt.sent) {
             onLateResponse(connection, message, key);
             return;
@@ -582,7 +517,8 @@
                         SipMessage.ACK, attempt.nodeCall.requestUri, attempt.nodeCall.callId, message.cseqNumber()),
                 null);
         if (message.status() >= 300) {
-            endAttempt(attempt, attemptStatusOf(message.status()), rejectReasonOf(message), report);
+            AttemptStatus status = ServerOutcomes.attemptStatusOf(message.status());
+            endAttempt(attempt, status, ServerOutcomes.rejectReasonOf(message), report);
             return;
         }
         attempts.remove(key);
@@ -621,25 +557,6 @@
                         || attempts.values().stream().anyMatch(attempt -> attempt.nodeCall == call));
     }
 
-    private static AttemptStatus attemptStatusOf(int statusCode) {
-        return switch (statusCode) {
-            case 503 -> AttemptStatus.FULL;
-            case 480 -> AttemptStatus.NOT_SENT;
-            case 504 -> AttemptStatus.RESET;
-            default -> AttemptStatus.ERROR;
-        };
-    }
-
-    private static RejectReason rejectReasonOf(SipMessage message) {
-        return switch (String.valueOf(message.headers().get("X-Diagnosis"))) {
-            case "all_trunks_busy" -> RejectReason.NO_LINE;
-            case "via_said_no", "far_cpu_full" -> RejectReason.BEYOND_FULL;
-            case "cpu_full" -> RejectReason.PROCESSOR_FULL;
-            case "number_busy" -> RejectReason.NUMBER_BUSY;
-            default -> RejectReason.NONE;
-        };
-    }
-
     /**
      * Handles the release of a call by its server. An attempt whose connection broke may have been established anyway,
      * and its BYE has the same Call-ID as the call's next attempt at this server. The two are distinguished by their
@@ -647,9 +564,7 @@
      */
     private void onBye(ServerConnection connection, SipMessage message, ServerLoadReport report) {
         NodeCall call = context.callRegistry().get(String.valueOf(message.callId()));
-        boolean normalClearing = String.valueOf(message.headers().get(SipHeaders.REASON))
-                .replace(" ", "")
-                .endsWith("cause=" + CallRegistry.CAUSE_NORMAL_CLEARING);
+        boolean normalClearing = ServerOutcomes.hasCause(message, CallRegistry.CAUSE_NORMAL_CLEARING);
         if (call == null) {
             LOG.atDebug()
                     .addKeyValue("id", String.valueOf(message.callId()))
@@ -677,7 +592,7 @@
             closeIfUnused();
             return;
         }
-        for (Attempt attempt : List.copyOf(attempts.values())) {
+        for (ServerAttempt attempt : List.copyOf(attempts.values())) {
             if (attempt.nodeCall == call && attempt.connection == connection && attempt.sent) {
                 endAttempt(attempt, AttemptStatus.RESET, RejectReason.NONE, report);
             }
@@ -711,19 +626,7 @@
             }
             return;
         }
-        sendProbe(requested, connection);
-    }
-
-    private void sendProbe(boolean requested, ServerConnection connection) {
-        double now = now();
-        String probeId = String.format("%016x", (long) server.id().hashCode() << 32 | probeNumber++ & 0xffffffffL);
-        probes.put(probeId, new Probe(now, requested, connection));
-        connection.send(SipMessage.request(SipMessage.OPTIONS, PROBE_URI, probeId, 1), null);
-        context.loop().timers().schedule(now + context.connectTimeoutMs(), firedAt -> {
-            if (probes.remove(probeId) != null && requested) {
-                router.probeCompleted(firedAt, server.id(), true, false, firedAt - now, ServerLoadReport.NONE);
-            }
-        });
+        probes.send(connection, requested);
     }
 
     /**
@@ -761,7 +664,7 @@
     private void probeAllConnections(double now) {
         lastProbedMs = now;
         if (context.probesAllowed()) {
-            List.copyOf(connections).forEach(connection -> sendProbe(false, connection));
+            List.copyOf(connections).forEach(connection -> probes.send(connection, false));
         } else {
             connect(); // A new connection shows that the host is alive, and the server sends the first message on it.
         }
--- /dev/null
+++ b/src/main/java/damsonseam/node/ServerOutcomes.java
@@ -0,0 +1,39 @@
+package damsonseam.node;
+
+import damsonseam.RoutingPolicy.AttemptStatus;
+import damsonseam.RoutingPolicy.RejectReason;
+import damsonseam.sip.SipHeaders;
+import damsonseam.sip.SipMessage;
+
+/** Maps a signalling server's messages to the outcomes that the routing policy knows. */
+final class ServerOutcomes {
+    private ServerOutcomes() {}
+
+    /** Returns the outcome of an attempt that was answered with this status code of 300 or more. */
+    static AttemptStatus attemptStatusOf(int statusCode) {
+        return switch (statusCode) {
+            case 503 -> AttemptStatus.FULL;
+            case 480 -> AttemptStatus.NOT_SENT;
+            case 504 -> AttemptStatus.RESET;
+            default -> AttemptStatus.ERROR;
+        };
+    }
+
+    /** Returns the reason of a refusal, {@code NONE} if it names none that is known. */
+    static RejectReason rejectReasonOf(SipMessage message) {
+        return switch (String.valueOf(message.headers().get("X-Diagnosis"))) {
+            case "all_trunks_busy" -> RejectReason.NO_LINE;
+            case "via_said_no", "far_cpu_full" -> RejectReason.BEYOND_FULL;
+            case "cpu_full" -> RejectReason.PROCESSOR_FULL;
+            case "number_busy" -> RejectReason.NUMBER_BUSY;
+            default -> RejectReason.NONE;
+        };
+    }
+
+    /** Returns whether a BYE has this Q.850 cause. */
+    static boolean hasCause(SipMessage bye, int cause) {
+        return String.valueOf(bye.headers().get(SipHeaders.REASON))
+                .replace(" ", "")
+                .endsWith("cause=" + cause);
+    }
+}
