Front node: what a peer claims neither holds its connection nor displaces callers

Cause: CallerConnection.onEstablishedInvite and CallRegistry.adopt enter a reported call as established, and a connection with one was neither evictable nor idle, so at the limit of 142 nothing could give way (enforceConnectionLimit). Fix: CallerEvidence ranks connections by what shows a caller: nothing, its claims, an answer by a server, an established call that a server answered. The weakest is evicted first and none without a pending call is exempt, as the protocol allows. That works since the invented calls now rank below every caller. A connection with reports only is closed after 2 s if a proven caller of its host is connected. The same cause: releases preferred claimants (findAlternative); one client filled the 10,000 adopted calls (AdoptedCalls); set-ups taken back at once held the limit for 2 s.

--- a/src/main/java/damsonseam/node/CallRegistry.java
+++ b/src/main/java/damsonseam/node/CallRegistry.java
@@ -22,7 +22,7 @@
  */
 final class CallRegistry {
     private static final Logger LOG = LoggerFactory.getLogger(CallRegistry.class);
-    /** Calls adopted from before the start; the caller of one more gets a release. */
+    /** Calls adopted from before the start; beyond that the connection with the most of them gets a release. */
     static final int MAX_ADOPTED_CALLS = 10_000;
     /** Released calls that are remembered, since a caller may still report one of them as established. */
     private static final int MAX_RECENT_RELEASES = 2_000;
@@ -50,8 +50,8 @@
         }
     };
     private final PendingReleases releases;
+    private final AdoptedCalls adoptedCalls = new AdoptedCalls(MAX_ADOPTED_CALLS);
     private Router router;
-    private int adoptedCalls;
 
     CallRegistry(PendingReleases releases) {
         this.releases = releases;
@@ -102,8 +102,8 @@
 
     /**
      * Adopts a call that a caller reports as established at a server. It may be over already: its release may have
-     * been the first message on a new server connection, or have crossed the caller's report. In this case, and when
-     * the limit is reached, the caller gets a release.
+     * been the first message on a new server connection, or have crossed the caller's report. In this case the caller
+     * gets a release. At the limit, one call of the connection with the most reports is released.
      */
     void adopt(NodeCall call, ServerEndpoint server, double now) {
         RecentRelease recent = recentReleases.get(call.callId);
@@ -111,12 +111,29 @@
                 && recent.serverId.equals(server.id())
                 && now - recent.releasedAtMs <= RECENT_RELEASE_MAX_AGE_MS) {
             releases.send(call, recent.cause);
-        } else if (adoptedCalls >= MAX_ADOPTED_CALLS) {
-            releases.send(call, CAUSE_TEMPORARY_FAILURE);
-        } else {
-            adoptedCalls++;
-            byCallId.put(call.callId, call);
-            establish(call, server, now);
+            return;
+        }
+        byCallId.put(call.callId, call);
+        establish(call, server, now);
+        adoptedCalls.add(call);
+        NodeCall excess = adoptedCalls.excessCall();
+        if (excess != null) {
+            remove(excess);
+            releases.send(excess, CAUSE_TEMPORARY_FAILURE);
+        }
+    }
+
+    /** Moves an established call to another connection of its caller. */
+    void changeCaller(NodeCall call, CallerConnection connection) {
+        boolean adopted = call.isAdopted();
+        if (adopted) {
+            adoptedCalls.remove(call);
+        }
+        call.caller.removeEstablished(call);
+        call.caller = connection;
+        connection.addEstablished(call);
+        if (adopted) {
+            adoptedCalls.add(call);
         }
     }
 
@@ -131,7 +148,11 @@
         call.establishedAtMs = now;
         call.offer = null;
         server.establishedCalls().add(call);
-        call.caller.adjustEstablishedCalls(1);
+        call.caller.addEstablished(call);
+        if (!call.isAdopted()) {
+            call.namedByServer = true;
+            call.caller.markProvenCaller();
+        }
         logCallEvent(call, "call established");
         releases.onCallerAvailable(call.caller);
     }
@@ -217,12 +238,13 @@
         if (byCallId.remove(call.callId, call)) {
             if (call.record != null) {
                 byRecordId.remove(call.record.id());
-            } else if (call.establishedServer != null) {
-                adoptedCalls--;
+            }
+            if (call.isAdopted()) {
+                adoptedCalls.remove(call);
             }
             if (call.establishedServer != null) {
                 call.establishedServer.establishedCalls().remove(call);
-                call.caller.adjustEstablishedCalls(-1);
+                call.caller.removeEstablished(call);
             }
         }
     }
--- a/src/main/java/damsonseam/node/CallerConnection.java
+++ b/src/main/java/damsonseam/node/CallerConnection.java
@@ -32,13 +32,6 @@
     private static final double SILENCE_TIMEOUT_MS = 2_000;
     /** An idle connection without calls is closed after this; well-behaved callers close theirs sooner. */
     private static final double IDLE_TIMEOUT_MS = 10_000;
-    /**
-     * At the connection limit, a connection without a set-up may be evicted after this time: a first set-up arrives and
-     * is read within it, even on a fraction of a CPU core.
-     */
-    private static final double EVICTABLE_AFTER_MS = 60;
-    /** At the connection limit, a connection that has brought a set-up may be evicted after being idle so long. */
-    private static final double EVICTABLE_AFTER_IDLE_MS = 2_000;
 
     private static final int BAD_REQUEST = 400;
     private static final int METHOD_NOT_ALLOWED = 405;
@@ -55,8 +48,10 @@
     private final Set<NodeCall> pendingCalls = new HashSet<>();
 
     private InetAddress remoteHost;
-    /** Number of established calls whose caller used this connection last. */
+    /** Number of calls whose caller used this connection last and that a server has answered. */
     private int establishedCalls;
+    /** Number of calls reported on this connection as established, which no server has confirmed. */
+    private int reportedCalls;
 
     private double lastReceivedMs;
     /** When the unfinished message began to arrive; NaN while there is none. */
@@ -64,6 +59,8 @@
 
     private boolean messageReceived;
     private boolean inviteReceived;
+    /** Whether a server has answered a call of this connection, or its peer has answered a release. */
+    private boolean provenCaller;
 
     CallerConnection(CallerListener listener, SocketChannel channel, SipDecoder decoder) {
         this.listener = listener;
@@ -78,32 +75,66 @@
         return channel.isActive();
     }
 
-    /** Returns whether a valid INVITE ever arrived. A peer that sends none is no caller, whichever host it is on. */
-    boolean hasSentInvite() {
-        return inviteReceived;
+    /** Returns what shows that the peer is a caller with something to lose. */
+    CallerEvidence evidence() {
+        if (establishedCalls > 0) {
+            return CallerEvidence.ESTABLISHED_CALL;
+        }
+        if (provenCaller) {
+            return CallerEvidence.PROVEN;
+        }
+        return inviteReceived ? CallerEvidence.CLAIMED : CallerEvidence.NONE;
+    }
+
+    /** Returns whether a server has ever answered a call of this connection, or its peer has answered a release. */
+    boolean isProvenCaller() {
+        return provenCaller;
+    }
+
+    /** Records that a server has answered a call of this connection, or that its peer has answered a release. */
+    void markProvenCaller() {
+        provenCaller = true;
     }
 
-    /** Returns whether this connection may be closed in favour of another: it has no call and had time to send one. */
+    /**
+     * Returns whether this connection may be closed in favour of another: it has no pending call and had time to send
+     * one. Established calls do not prevent it, as they are not tied to a connection.
+     */
     boolean isEvictable(double now) {
-        return pendingCalls.isEmpty()
-                && establishedCalls == 0
-                && now - lastReceivedMs > (inviteReceived ? EVICTABLE_AFTER_IDLE_MS : EVICTABLE_AFTER_MS);
+        return pendingCalls.isEmpty() && now - lastReceivedMs > evidence().evictableAfterMs();
+    }
+
+    InetAddress remoteHost() {
+        return remoteHost;
     }
 
     boolean hasSameHost(CallerConnection other) {
         return other != null && remoteHost != null && remoteHost.equals(other.remoteHost);
     }
 
-    /** Returns whether the connection has been silent or idle for too long, or its message has taken too long. */
-    boolean isExpired(double now) {
-        boolean midMessage = decoder.isMidMessage();
-        double limitMs = !messageReceived || midMessage ? SILENCE_TIMEOUT_MS : IDLE_TIMEOUT_MS;
-        // A message that takes longer to arrive than any caller waits for a final response is not worth finishing.
-        boolean messageOverdue =
-                midMessage && now - midMessageSinceMs > listener.inviteParser().maxPatienceMs();
-        return pendingCalls.isEmpty()
-                && (establishedCalls == 0 || midMessage)
-                && (now - lastReceivedMs > limitMs || messageOverdue);
+    /**
+     * Returns whether the connection has been silent or idle for too long, or its message has taken too long. One with
+     * reported calls and nothing else is silent, too, if the release of these calls has another way to its host.
+     *
+     * @param hostHasProvenCaller whether a connection of a proven caller from the same host is open
+     */
+    boolean isExpired(double now, boolean hostHasProvenCaller) {
+        if (!pendingCalls.isEmpty()) {
+            return false;
+        }
+        double idleMs = now - lastReceivedMs;
+        if (decoder.isMidMessage()) {
+            // A message that takes longer to arrive than any caller waits for a final response is not worth finishing.
+            return idleMs > SILENCE_TIMEOUT_MS
+                    || now - midMessageSinceMs > listener.inviteParser().maxPatienceMs();
+        }
+        if (establishedCalls > 0) {
+            return false;
+        }
+        if (reportedCalls > 0) {
+            return !provenCaller && hostHasProvenCaller && idleMs > SILENCE_TIMEOUT_MS;
+        }
+        return idleMs > (messageReceived ? IDLE_TIMEOUT_MS : SILENCE_TIMEOUT_MS);
     }
 
     /** Writes a message; {@code onWritten} is notified whether the operating system took it, unless it is null. */
@@ -122,6 +153,7 @@
                 .addKeyValue("why", reason)
                 .addKeyValue("open", pendingCalls.size())
                 .addKeyValue("standing", establishedCalls)
+                .addKeyValue("reported", reportedCalls)
                 .log("closing caller connection");
         channel.flush();
         channel.close();
@@ -132,21 +164,32 @@
         channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(future -> channel.shutdownOutput());
     }
 
-    boolean hasEstablishedCalls() {
-        return establishedCalls > 0;
-    }
-
     @Override
     public String toString() {
         return String.valueOf(channel.remoteAddress());
     }
 
+    /** Returns the number of established calls whose caller used this connection last, reported ones included. */
     int establishedCallCount() {
-        return establishedCalls;
+        return establishedCalls + reportedCalls;
     }
 
-    void adjustEstablishedCalls(int change) {
-        establishedCalls += change;
+    /** Counts an established call whose caller has come to use this connection. */
+    void addEstablished(NodeCall call) {
+        adjustEstablished(call, 1);
+    }
+
+    /** Counts that an established call has ended, or that its caller has come to use another connection. */
+    void removeEstablished(NodeCall call) {
+        adjustEstablished(call, -1);
+    }
+
+    private void adjustEstablished(NodeCall call, int change) {
+        if (call.isAdopted()) {
+            reportedCalls += change;
+        } else {
+            establishedCalls += change;
+        }
     }
 
     /** Removes a call from the pending ones, since its INVITE gets its final response. */
@@ -322,9 +365,7 @@
             if (existing.establishedServer != null
                     && existing.establishedServer.id().equals(setUp.establishedServerId())
                     && !existing.caller.isUsable()) {
-                existing.caller.adjustEstablishedCalls(-1);
-                existing.caller = this;
-                adjustEstablishedCalls(1);
+                listener.callRegistry().changeCaller(existing, this);
             }
             return;
         }
--- a/src/main/java/damsonseam/node/CallerListener.java
+++ b/src/main/java/damsonseam/node/CallerListener.java
@@ -16,8 +16,10 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -160,15 +162,15 @@
         }
     }
 
-    /** Closes the least useful connection and returns true, or returns false if none may be evicted. */
+    /** Closes the connection with the weakest evidence and returns true, or returns false if none may be evicted. */
     private boolean evictOne(double now) {
-        CallerConnection evicted = connections.stream()
-                .filter(connection -> connection.isEvictable(now) && !connection.hasSentInvite())
-                .findFirst()
-                .orElseGet(() -> connections.stream()
-                        .filter(connection -> connection.isEvictable(now))
-                        .findFirst()
-                        .orElse(null));
+        CallerConnection evicted = null;
+        for (CallerConnection connection : connections) {
+            boolean weakest = evicted == null || connection.evidence().compareTo(evicted.evidence()) < 0;
+            if (weakest && connection.isEvictable(now)) {
+                evicted = connection;
+            }
+        }
         if (evicted == null) {
             return false;
         }
@@ -179,9 +181,9 @@
     }
 
     /**
-     * Evicts connections while the limit is reached: first those that never sent a set-up, then idle ones without
-     * calls, the longest silent first. A new connection is never evicted, as its first set-up may be on its way: while
-     * none can be evicted, accepting stops and further connections wait in the operating system's backlog.
+     * Evicts connections while the limit is reached, those with the weakest {@link CallerEvidence} first and among
+     * these the longest silent. A new connection is never evicted, as its first set-up may be on its way: while none
+     * can be evicted, accepting stops and further connections wait in the operating system's backlog.
      */
     private void enforceConnectionLimit(double now) {
         while (connections.size() >= maxConnections()) {
@@ -206,29 +208,37 @@
 
     /**
      * Returns another connection on which a release may be sent, or null. Calls are not bound to a connection, and
-     * callers need not be on one host. A connection with established calls certainly belongs to a caller and is
-     * preferred, one on the same host before others. Otherwise a connection on the same host that has sent a set-up is
-     * chosen. Among equals the one with the latest message wins.
+     * callers need not be on one host. A connection with a call that a server has answered certainly belongs to a caller
+     * and is preferred, one on the same host before others. Otherwise a connection on the same host is chosen, that of a
+     * proven caller before one that has only sent a set-up. Among equals the one with the latest message wins.
      *
      * @param original the connection that the call belongs to, or null
      * @param excluded the connection on which the release was sent before, or null
      */
     CallerConnection findAlternative(CallerConnection original, CallerConnection excluded) {
         CallerConnection alternative = null;
-        int bestScore = 1;
+        int bestRank = 1;
         for (CallerConnection connection : connections) {
-            boolean eligible = connection != excluded && connection.isUsable() && connection.hasSentInvite();
-            int score = !eligible
-                    ? 0
-                    : (connection.hasEstablishedCalls() ? 2 : 0) + (connection.hasSameHost(original) ? 1 : 0);
-            if (score >= bestScore) {
+            int rank = connection != excluded && connection.isUsable() ? alternativeRank(connection, original) : 0;
+            if (rank >= bestRank) {
                 alternative = connection;
-                bestScore = score;
+                bestRank = rank;
             }
         }
         return alternative;
     }
 
+    /** Ranks a connection for releases of another one's calls; 0 if it may not get them. */
+    private static int alternativeRank(CallerConnection connection, CallerConnection original) {
+        boolean sameHost = connection.hasSameHost(original);
+        return switch (connection.evidence()) {
+            case ESTABLISHED_CALL -> sameHost ? 4 : 3;
+            case PROVEN -> sameHost ? 2 : 0;
+            case CLAIMED -> sameHost ? 1 : 0;
+            case NONE -> 0;
+        };
+    }
+
     void onMessage(CallerConnection connection) {
         lastActivityMs = loop.now();
         if (connections.remove(connection)) {
@@ -237,9 +247,15 @@
     }
 
     private void sweep(double now) {
+        Set<InetAddress> provenHosts = new HashSet<>();
+        connections.forEach(connection -> {
+            if (connection.isProvenCaller()) {
+                provenHosts.add(connection.remoteHost());
+            }
+        });
         List<CallerConnection> expired = new ArrayList<>();
         connections.forEach(connection -> {
-            if (connection.isExpired(now)) {
+            if (connection.isExpired(now, provenHosts.contains(connection.remoteHost()))) {
                 expired.add(connection);
             }
         });
--- a/src/main/java/damsonseam/node/NodeCall.java
+++ b/src/main/java/damsonseam/node/NodeCall.java
@@ -38,6 +38,8 @@
     ServerConnection establishedConnection;
     /** The server at which the call is established, else null. */
     ServerEndpoint establishedServer;
+    /** Whether a server has answered or released the call: evidence that it exists, which its caller's word is not. */
+    boolean namedByServer;
     /** When the call was established, in milliseconds of the node's clock. */
     double establishedAtMs;
 
@@ -62,6 +64,11 @@
         this.caller = caller;
     }
 
+    /** Returns whether the call was reported by its caller as established, and not set up by this node. */
+    boolean isAdopted() {
+        return record == null && establishedServer != null;
+    }
+
     @Override
     public void onFinalAnswer(double now, CallRecord call, FinalAnswer finalAnswer) {
         callRegistry.onFinalAnswer(now, this, call, finalAnswer);
--- a/src/main/java/damsonseam/node/PendingReleases.java
+++ b/src/main/java/damsonseam/node/PendingReleases.java
@@ -5,7 +5,6 @@
 import damsonseam.sip.SipHeaders;
 import damsonseam.sip.SipMessage;
 import java.util.ArrayList;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -24,7 +23,7 @@
  */
 final class PendingReleases {
     private static final Logger LOG = LoggerFactory.getLogger(PendingReleases.class);
-    /** Pending releases kept; beyond that the oldest is dropped. */
+    /** Pending releases kept; beyond that one is dropped, first one of a call that no server has named. */
     private static final int MAX_PENDING = 4_000;
     /** How often the BYE of one release is sent at most. */
     private static final int MAX_TRANSMISSIONS = 3;
@@ -91,9 +90,7 @@
     /** Sends the release of a call to its caller, on another of its connections if the first is closed. */
     void send(NodeCall call, int cause) {
         if (pending.size() >= MAX_PENDING) {
-            Iterator<String> oldest = pending.keySet().iterator();
-            oldest.next();
-            oldest.remove();
+            dropOne();
         }
         PendingRelease release = new PendingRelease(call, cause, router.now());
         pending.put(call.callId, release);
@@ -105,6 +102,17 @@
                         : callerListener.findAlternative(callerConnection, null));
     }
 
+    /** Drops the oldest release of a call that no server has named, or the oldest of all if there is none. */
+    private void dropOne() {
+        String dropped = pending.values().stream()
+                .map(release -> release.call)
+                .filter(call -> !call.namedByServer)
+                .findFirst()
+                .map(call -> call.callId)
+                .orElseGet(() -> pending.keySet().iterator().next());
+        pending.remove(dropped);
+    }
+
     private void send(PendingRelease release, CallerConnection connection) {
         release.connection = connection;
         if (connection == null) {
@@ -138,6 +146,9 @@
                     .addKeyValue("said", release.transmissions)
                     .log("release confirmed by caller");
             callersConfirm = true;
+            if (release.call.namedByServer) {
+                connection.markProvenCaller();
+            }
             pending.remove(callId);
         }
     }
@@ -157,7 +168,8 @@
         for (PendingRelease release : List.copyOf(pending.values())) {
             if (release.connection == null
                     && release.transmissions < MAX_TRANSMISSIONS
-                    && (connection.hasSameHost(release.call.caller) || connection.hasEstablishedCalls())) {
+                    && (connection.hasSameHost(release.call.caller)
+                            || connection.evidence() == CallerEvidence.ESTABLISHED_CALL)) {
                 send(release, connection);
             }
         }
--- a/src/main/java/damsonseam/node/ServerEndpoint.java
+++ b/src/main/java/damsonseam/node/ServerEndpoint.java
@@ -582,6 +582,7 @@
             return;
         }
         if (call.establishedServer == this) {
+            call.namedByServer = true;
             if (call.brokenAttemptServer == this
                     && call.establishedConnection != connection
                     && call.establishedConnection.isUsable()) {
