Front node: an open socket does not make a BYE on another connection a former attempt's

Cause: ServerEndpoint.onBye dropped a BYE, confirmed by 200, if an attempt of its call had broken at that server and the connection of the answer "is usable", that is, open. A server that gave that connection up after a response that stopped short sends the BYE of the established call elsewhere, and nothing else ends the call. Fix: AmbiguousReleases holds such a BYE and probes Y; a response means that the BYE is a former attempt's, a close or 400 ms without use that the call ends. Where that stays open the server gets a BYE, too, so that no attempt is left. The same cause: set-ups and BYEs went out on connections with an unfinished response; only the last server with a broken attempt was remembered; a former attempt's BYE ended the pending attempt on the same connection.

--- a/src/main/java/damsonseam/node/NodeCall.java
+++ b/src/main/java/damsonseam/node/NodeCall.java
@@ -3,6 +3,8 @@
 import damsonseam.core.CallRecord;
 import damsonseam.core.FinalAnswer;
 import damsonseam.core.RouterPorts;
+import java.util.ArrayList;
+import java.util.List;
 
 /**
  * A call as the SIP side sees it, beside the core's record: what is passed on unchanged, the caller's connection and
@@ -32,8 +34,8 @@
     CallRecord record;
     /** The server whose 200 is being passed to the core, else null. */
     ServerEndpoint answeringServer;
-    /** The server where an attempt broke or was cancelled last: it may be established there with the same Call-ID. */
-    ServerEndpoint brokenAttemptServer;
+    /** The servers where an attempt broke or was cancelled: it may be established there with the same Call-ID. */
+    private List<ServerEndpoint> brokenAttemptServers = List.of();
     /** The connection that brought the 200; the server sends the BYE on the same one. */
     ServerConnection establishedConnection;
     /** The server at which the call is established, else null. */
@@ -64,6 +66,20 @@
         this.caller = caller;
     }
 
+    /** Records that an attempt broke or was cancelled at a server, which may have established it all the same. */
+    void recordBrokenAttempt(ServerEndpoint server) {
+        if (!hasBrokenAttemptAt(server)) {
+            List<ServerEndpoint> servers = new ArrayList<>(brokenAttemptServers);
+            servers.add(server);
+            brokenAttemptServers = servers;
+        }
+    }
+
+    /** Returns whether a former attempt of the call may be established at a server. */
+    boolean hasBrokenAttemptAt(ServerEndpoint server) {
+        return brokenAttemptServers.contains(server);
+    }
+
     /** Returns whether the call was reported by its caller as established, and not set up by this node. */
     boolean isAdopted() {
         return record == null && establishedServer != null;
--- a/src/main/java/damsonseam/node/ServerConnection.java
+++ b/src/main/java/damsonseam/node/ServerConnection.java
@@ -40,11 +40,20 @@
         outstandingAttempts += change;
     }
 
+    /** Returns whether the socket is open and takes data. That does not show that the far end serves it. */
     boolean isUsable() {
         return channel.isActive() && channel.isWritable();
     }
 
-    /** Returns whether a set-up was cancelled here that was sent after the last message from the server. */
+    /**
+     * Returns whether nothing suggests that the server has given the connection up: an open socket does not show that
+     * it is served, as a response may have stopped short on it.
+     */
+    boolean acceptsSetUps() {
+        return isUsable() && !suspect && !decoder.isMidMessage();
+    }
+
+    /** Returns whether nothing has arrived since a set-up that was cancelled, or a probe, was sent here in vain. */
     boolean isSuspect() {
         return suspect;
     }
@@ -54,6 +63,11 @@
         suspect |= lastReceivedMs < sentAtMs;
     }
 
+    /** Marks the connection as suspect: a probe on it was not answered in time. */
+    void onProbeUnanswered() {
+        suspect = true;
+    }
+
     /** Returns whether the rest of an unfinished message has been missing for longer than the limit. */
     boolean isStuckMidMessage(double nowMs, double limitMs) {
         return decoder.isMidMessage() && nowMs - lastReceivedMs > limitMs;
@@ -84,6 +98,7 @@
     public void channelReadComplete(ChannelHandlerContext ctx) {
         // Part of a message counts as activity: a message is stuck only when nothing more of it arrives.
         recordActivity();
+        endpoint.onReadComplete(this);
         ctx.fireChannelReadComplete();
     }
 
--- a/src/main/java/damsonseam/node/ServerEndpoint.java
+++ b/src/main/java/damsonseam/node/ServerEndpoint.java
@@ -66,6 +66,7 @@
         }
     };
     private final ServerProbes probes;
+    private final AmbiguousReleases ambiguousReleases;
     /** BYE requests that wait for a connection. */
     private final ArrayDeque<SipMessage> queuedByes = new ArrayDeque<>();
 
@@ -91,6 +92,7 @@
         this.router = router;
         this.server = server;
         probes = new ServerProbes(context, router, server.id());
+        ambiguousReleases = new AmbiguousReleases(context.loop(), this::onReleaseEffective);
         lastReceivedMs = context.loop().now();
         connect();
     }
@@ -224,9 +226,7 @@
         backoffMs = INITIAL_BACKOFF_MS;
         connections.add(connection);
         lastReceivedMs = Math.max(lastReceivedMs, now() - PROBE_AFTER_MS);
-        for (ServerAttempt attempt = queuedAttempts.poll(); attempt != null; attempt = queuedAttempts.poll()) {
-            assign(attempt, connection);
-        }
+        assignQueued(connection);
         if (connectAgain) {
             connectAgain = false;
             connect();
@@ -236,6 +236,19 @@
         }
     }
 
+    /** Handles that a connection has been read: one that was in doubt may serve the attempts that wait. */
+    void onReadComplete(ServerConnection connection) {
+        if (!queuedAttempts.isEmpty() && active && connection.acceptsSetUps()) {
+            assignQueued(connection);
+        }
+    }
+
+    private void assignQueued(ServerConnection connection) {
+        for (ServerAttempt attempt = queuedAttempts.poll(); attempt != null; attempt = queuedAttempts.poll()) {
+            assign(attempt, connection);
+        }
+    }
+
     private void onConnectFailed(Throwable cause) {
         connecting = false;
         connectAttemptCompleted = true;
@@ -267,13 +280,14 @@
         router.advanceClock(now());
         for (ServerAttempt attempt : List.copyOf(attempts.values())) {
             if (attempt.connection == connection && attempt.sent) {
-                attempt.nodeCall.brokenAttemptServer = this;
+                attempt.nodeCall.recordBrokenAttempt(this);
                 endAttempt(attempt, AttemptStatus.RESET, RejectReason.NONE, ServerLoadReport.NONE);
             } else if (attempt.connection == connection) {
                 reassign(attempt);
             }
         }
         probes.onDisconnected(connection, now());
+        ambiguousReleases.onDisconnected(connection);
         if (connections.isEmpty() && !active) {
             cutCalls(call -> true);
         }
@@ -296,17 +310,26 @@
         });
     }
 
-    /** Returns the usable connection with the fewest outstanding attempts, or null if there is none. */
-    private ServerConnection leastLoadedConnection(boolean includeSuspect) {
+    /**
+     * Returns the connection with the fewest outstanding attempts, or null if there is none.
+     *
+     * @param includeDoubtful whether a connection that the server may have given up is better than none
+     */
+    private ServerConnection leastLoadedConnection(boolean includeDoubtful) {
         ServerConnection best = null;
+        ServerConnection bestDoubtful = null;
         for (ServerConnection connection : connections) {
-            if (connection.isUsable()
-                    && (includeSuspect || !connection.isSuspect())
-                    && (best == null || connection.outstandingAttempts() < best.outstandingAttempts())) {
-                best = connection;
+            if (connection.acceptsSetUps()) {
+                best = lessLoaded(connection, best);
+            } else if (connection.isUsable()) {
+                bestDoubtful = lessLoaded(connection, bestDoubtful);
             }
         }
-        return best;
+        return best == null && includeDoubtful ? bestDoubtful : best;
+    }
+
+    private static ServerConnection lessLoaded(ServerConnection connection, ServerConnection other) {
+        return other == null || connection.outstandingAttempts() < other.outstandingAttempts() ? connection : other;
     }
 
     // ---- Attempts ---------------------------------------------------------------------------------------
@@ -390,7 +413,7 @@
             return;
         }
         attempt.connection.onCancelled(attempt.sentAtMs);
-        attempt.nodeCall.brokenAttemptServer = this;
+        attempt.nodeCall.recordBrokenAttempt(this);
         cancelledAttempts.put(attempt.key(), attempt.nodeCall.requestUri);
         attempt.connection.send(
                 SipMessage.request(SipMessage.CANCEL, attempt.nodeCall.requestUri, callId, index + 1), written -> {
@@ -470,6 +493,7 @@
     }
 
     private void onRequest(ServerConnection connection, SipMessage message, ServerLoadReport report, double now) {
+        ambiguousReleases.onRequest(connection, now);
         if (message.method().equals(SipMessage.NOTIFY)) {
             router.probeCompleted(now, server.id(), false, true, 0, report);
         } else if (message.method().equals(SipMessage.BYE)) {
@@ -500,7 +524,7 @@
             return;
         }
         if (message.cseqMethod().equals(SipMessage.OPTIONS)) {
-            probes.onResponse(message, report, now);
+            onProbeResponse(connection, message, report, now);
             return;
         }
         if (!message.cseqMethod().equals(SipMessage.INVITE)) {
@@ -537,6 +561,13 @@
         }
     }
 
+    private void onProbeResponse(ServerConnection connection, SipMessage message, ServerLoadReport report, double now) {
+        ServerProbes.Probe probe = probes.onResponse(message, report, now);
+        if (probe != null && probe.connection() == connection && message.status() == SipMessage.OK) {
+            ambiguousReleases.onProbeAnswered(connection, probe.sentAtMs());
+        }
+    }
+
     /** Acknowledges a response to a cancelled attempt, and releases the call on success. Other ones are ignored. */
     private void onLateResponse(ServerConnection connection, SipMessage message, String key) {
         String requestUri = cancelledAttempts.remove(key);
@@ -557,40 +588,79 @@
                         || attempts.values().stream().anyMatch(attempt -> attempt.nodeCall == call));
     }
 
-    /**
-     * Handles the release of a call by its server. An attempt whose connection broke may have been established anyway,
-     * and its BYE has the same Call-ID as the call's next attempt at this server. The two are distinguished by their
-     * connection while the one of the established or outstanding attempt is open.
-     */
+    /** Handles the release of a call by its server. */
     private void onBye(ServerConnection connection, SipMessage message, ServerLoadReport report) {
         NodeCall call = context.callRegistry().get(String.valueOf(message.callId()));
-        boolean normalClearing = ServerOutcomes.hasCause(message, CallRegistry.CAUSE_NORMAL_CLEARING);
         if (call == null) {
-            LOG.atDebug()
-                    .addKeyValue("id", String.valueOf(message.callId()))
-                    .addKeyValue("server", server.id())
-                    .log("BYE for an unknown call");
-            if (InviteParser.isCallId(message.callId())) {
-                context.callRegistry()
-                        .recordRelease(
-                                server.id(),
-                                message.callId(),
-                                normalClearing
-                                        ? CallRegistry.CAUSE_NORMAL_CLEARING
-                                        : CallRegistry.CAUSE_TEMPORARY_FAILURE);
+            onByeOfUnknownCall(message);
+        } else if (call.establishedServer == this) {
+            call.namedByServer = true;
+            onByeOfEstablishedCall(connection, call, message, report);
+        } else {
+            onByeBeforeAnswer(connection, call, message, report);
+        }
+    }
+
+    private void onByeOfUnknownCall(SipMessage message) {
+        LOG.atDebug()
+                .addKeyValue("id", String.valueOf(message.callId()))
+                .addKeyValue("server", server.id())
+                .log("BYE for an unknown call");
+        if (InviteParser.isCallId(message.callId())) {
+            int cause = ServerOutcomes.hasCause(message, CallRegistry.CAUSE_NORMAL_CLEARING)
+                    ? CallRegistry.CAUSE_NORMAL_CLEARING
+                    : CallRegistry.CAUSE_TEMPORARY_FAILURE;
+            context.callRegistry().recordRelease(server.id(), message.callId(), cause);
+        }
+    }
+
+    private void onByeOfEstablishedCall(
+            ServerConnection connection, NodeCall call, SipMessage message, ServerLoadReport report) {
+        AttemptStatus status = ServerOutcomes.hasCause(message, CallRegistry.CAUSE_NORMAL_CLEARING)
+                ? AttemptStatus.COMPLETED
+                : AttemptStatus.RESET;
+        ServerConnection own = call.establishedConnection;
+        if (!call.hasBrokenAttemptAt(this)) {
+            context.callRegistry().onReleasedByServer(call, status, report);
+            closeIfUnused();
+        } else if (own == connection || !own.isUsable()) {
+            releaseAtBothSides(call, status, report);
+        } else {
+            ambiguousReleases.hold(call, status, report);
+            if (context.probesAllowed()) {
+                probes.send(own, false);
             }
-            return;
         }
-        if (call.establishedServer == this) {
-            call.namedByServer = true;
-            if (call.brokenAttemptServer == this
-                    && call.establishedConnection != connection
-                    && call.establishedConnection.isUsable()) {
-                return;
+    }
+
+    private void onReleaseEffective(AmbiguousReleases.AmbiguousRelease release) {
+        if (establishedCalls.contains(release.call())) {
+            if (context.probesAllowed()) {
+                release.call().establishedConnection.onProbeUnanswered();
             }
-            context.callRegistry()
-                    .onReleasedByServer(call, normalClearing ? AttemptStatus.COMPLETED : AttemptStatus.RESET, report);
-            closeIfUnused();
+            router.advanceClock(now());
+            releaseAtBothSides(release.call(), release.status(), release.report());
+            context.loop().scheduleBatchEnd();
+        }
+    }
+
+    /**
+     * Ends a call of which two attempts may be established at this server, one of them released: the server releases
+     * the other one, too, so that none is left that no caller knows.
+     */
+    private void releaseAtBothSides(NodeCall call, AttemptStatus status, ServerLoadReport report) {
+        ambiguousReleases.remove(call);
+        context.callRegistry().onReleasedByServer(call, status, report);
+        sendBye(call.callId, call.requestUri);
+    }
+
+    /**
+     * Handles a BYE while an attempt of its call has no answer yet. If a former attempt broke here, the release of an
+     * answered call is the former one's.
+     */
+    private void onByeBeforeAnswer(
+            ServerConnection connection, NodeCall call, SipMessage message, ServerLoadReport report) {
+        if (call.hasBrokenAttemptAt(this) && ServerOutcomes.isReleaseOfAnsweredCall(message)) {
             return;
         }
         for (ServerAttempt attempt : List.copyOf(attempts.values())) {
--- a/src/main/java/damsonseam/node/ServerOutcomes.java
+++ b/src/main/java/damsonseam/node/ServerOutcomes.java
@@ -36,4 +36,9 @@
                 .replace(" ", "")
                 .endsWith("cause=" + cause);
     }
+
+    /** Returns whether a BYE releases a call that was answered: any other cause ends a set-up before its answer. */
+    static boolean isReleaseOfAnsweredCall(SipMessage bye) {
+        return hasCause(bye, CallRegistry.CAUSE_NORMAL_CLEARING) || hasCause(bye, CallRegistry.CAUSE_TEMPORARY_FAILURE);
+    }
 }
