Front node: a lost server connection is replaced even if the first connect fails

Need: a BYE lost with a connection is repeated by the server on the next one that is opened. Cause: ServerEndpoint.onConnectFailed tried again only while no connection was left, so with others open there was no next one until a set-up wanted it. Fix: replacementNeeded, with the usual backoff, until a connection was opened after the loss.

--- a/src/main/java/damsonseam/node/ServerEndpoint.java
+++ b/src/main/java/damsonseam/node/ServerEndpoint.java
@@ -74,6 +74,9 @@
     /** Whether another connection was lost while the present connection attempt was under way. */
     private boolean connectAgain;
 
+    /** Whether no connection has been opened since one was lost: the server repeats a lost BYE on the next one. */
+    private boolean replacementNeeded;
+
     private boolean connectAttemptCompleted;
     /** Whether connections may be opened and set-ups sent; false once delisted, replaced or closed. */
     private boolean active = true;
@@ -227,6 +230,7 @@
         connections.add(connection);
         lastReceivedMs = Math.max(lastReceivedMs, now() - PROBE_AFTER_MS);
         assignQueued(connection);
+        replacementNeeded = connectAgain;
         if (connectAgain) {
             connectAgain = false;
             connect();
@@ -251,6 +255,7 @@
 
     private void onConnectFailed(Throwable cause) {
         connecting = false;
+        connectAgain = false;
         connectAttemptCompleted = true;
         failQueued();
         if (connections.isEmpty()) {
@@ -259,6 +264,8 @@
                 cutCalls(call -> true);
                 queuedByes.clear();
             }
+        }
+        if (isConnectionNeeded()) {
             scheduleReconnect();
         }
         context.loop().scheduleBatchEnd();
@@ -275,8 +282,11 @@
                     .log("server connection lost with outstanding attempts");
         }
         // A BYE from the server may have been lost with it: the server repeats it on the next connection opened.
+        replacementNeeded = active;
         connectAgain = connecting;
-        connect();
+        if (!connect()) {
+            scheduleReconnect();
+        }
         router.advanceClock(now());
         for (ServerAttempt attempt : List.copyOf(attempts.values())) {
             if (attempt.connection == connection && attempt.sent) {
@@ -304,12 +314,17 @@
         backingOff = true;
         context.loop().timers().schedule(now() + delayMs, firedAt -> {
             backingOff = false;
-            if (connections.isEmpty()) {
-                connect();
+            if (isConnectionNeeded() && !connect()) {
+                scheduleReconnect();
             }
         });
     }
 
+    /** Returns whether a connection must be opened even if none is needed for a set-up. */
+    private boolean isConnectionNeeded() {
+        return connections.isEmpty() || replacementNeeded;
+    }
+
     /**
      * Returns the connection with the fewest outstanding attempts, or null if there is none.
      *
--- a/src/test/java/damsonseam/node/AmbiguousReleaseTest.java
+++ b/src/test/java/damsonseam/node/AmbiguousReleaseTest.java
@@ -5,6 +5,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import damsonseam.sip.SipMessage;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -185,4 +188,35 @@
             assertEquals("1 INVITE", received.cseq(), "the first attempt went out on the unfinished connection");
         }
     }
+
+    // Guards against a BYE lost for good when the first attempt to replace its lost connection fails.
+    @Test
+    void lostConnectionIsReplacedAfterFailedConnect() throws Exception {
+        try (NodeFixture fixture = new NodeFixture(1)) {
+            SipSocket first = fixture.acceptServerConnection(0);
+            NodeFixture.EstablishedCall call = fixture.establishCall(first);
+            // A second set-up while one is outstanding makes the node open a second connection.
+            call.caller().send(fixture.invite());
+            SipMessage outstanding = first.receive("INVITE");
+            call.caller().send(fixture.invite());
+            SipSocket second = fixture.acceptServerConnection(0);
+            first.send(NodeFixture.okResponse(first.receive("INVITE")));
+            first.send(NodeFixture.okResponse(outstanding));
+            assertEquals(200, call.caller().receive().status());
+            assertEquals(200, call.caller().receive().status());
+            int port = fixture.serverSockets.get(0).getLocalPort();
+            fixture.serverSockets.get(0).close();
+            second.reset();
+            Thread.sleep(200);
+            ServerSocket reopened = new ServerSocket();
+            reopened.setReuseAddress(true);
+            reopened.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+            fixture.serverSockets.set(0, reopened);
+            reopened.setSoTimeout(3_000);
+            SipSocket next = fixture.acceptServerConnection(0);
+            next.send(NodeFixture.bye(call.invite().callId(), 16));
+            SipMessage bye = call.caller().receive("BYE");
+            assertEquals(call.invite().callId(), bye.callId());
+        }
+    }
 }
