Front node: a connection that opens after its server was dropped is probed like the others

Cause: a connection accepted by the server but not yet registered by the node when the list dropped the server was left out of probeAllConnections and probed only after 2 s of silence. Fix: onConnected probes it.

--- a/src/main/java/damsonseam/node/ServerEndpoint.java
+++ b/src/main/java/damsonseam/node/ServerEndpoint.java
@@ -238,6 +238,10 @@
         for (SipMessage bye = queuedByes.poll(); bye != null; bye = queuedByes.poll()) {
             connection.send(bye, null);
         }
+        if (!active && !establishedCalls.isEmpty() && context.probesAllowed()) {
+            // The list dropped the server while this connection was being opened: it is probed like the others.
+            probes.send(connection, false);
+        }
     }
 
     /** Handles that a connection has been read: one that was in doubt may serve the attempts that wait. */
