Front node: after a pause no connection is evicted whose set-up waits unread

Cause found by reading: silence was counted over pauses of the loop, when input may wait unread, and a connection without a message gave way before those with a claim, though these were silent longer. Fix: silence is counted less Router.maxReadAge; peers without evidence are alike and the longest silent gives way first. Test: ReportedCallsTest.callerWhoseSetUpWaitsUnreadAfterPauseIsNotEvicted, failed on the commit before, passes now with the six others of its class.

--- a/src/main/java/damsonseam/node/AmbiguousReleases.java
+++ b/src/main/java/damsonseam/node/AmbiguousReleases.java
@@ -12,8 +12,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Releases from one server that may belong to a former attempt of their call. An attempt that broke or was cancelled may
- * have been established at the server all the same, and its BYE has the same Call-ID as that of the call's later
+ * Releases from one server that may belong to a former attempt of their call. An attempt that broke or was cancelled
+ * may have been established at the server all the same, and its BYE has the same Call-ID as that of the call's later
  * attempt. A server sends the BYE of a call on the connection of its set-up while it uses that connection. A BYE on
  * another connection therefore belongs to a former attempt if the server still uses the connection of the established
  * call, and otherwise to the established call. An open socket does not show that: the server may have given the
@@ -25,7 +25,7 @@
  */
 final class AmbiguousReleases {
     private static final Logger LOG = LoggerFactory.getLogger(AmbiguousReleases.class);
-    /** Longer than any round trip, and short enough for sending the BYE twice in the second that the platform allows. */
+    /** Longer than any round trip, and leaves time to send the BYE twice in the second that the platform allows. */
     private static final double DECISION_TIMEOUT_MS = 400;
     /** A request received sooner may have been sent before the release. */
     private static final double MAX_TRANSIT_MS = 100;
--- a/src/main/java/damsonseam/node/CallerConnection.java
+++ b/src/main/java/damsonseam/node/CallerConnection.java
@@ -101,7 +101,12 @@
      * one. Established calls do not prevent it, as they are not tied to a connection.
      */
     boolean isEvictable(double now) {
-        return pendingCalls.isEmpty() && now - lastReceivedMs > evidence().evictableAfterMs();
+        return pendingCalls.isEmpty() && silentMs(now) > evidence().evictableAfterMs();
+    }
+
+    /** Returns for how long nothing has arrived, less the time for which input may be waiting unread after a pause. */
+    private double silentMs(double now) {
+        return now - lastReceivedMs - listener.router().maxReadAge(now);
     }
 
     InetAddress remoteHost() {
@@ -122,7 +127,7 @@
         if (!pendingCalls.isEmpty()) {
             return false;
         }
-        double idleMs = now - lastReceivedMs;
+        double idleMs = silentMs(now);
         if (decoder.isMidMessage()) {
             // A message that takes longer to arrive than any caller waits for a final response is not worth finishing.
             return idleMs > SILENCE_TIMEOUT_MS
--- a/src/main/java/damsonseam/node/CallerEvidence.java
+++ b/src/main/java/damsonseam/node/CallerEvidence.java
@@ -3,7 +3,8 @@
 /**
  * What shows that the peer of a connection is a caller with something to lose, weakest first. At the connection limit
  * the peers with the weakest evidence are evicted first. What a peer says of itself is a claim: only a server's answer,
- * or the peer's own answer to a release, is evidence.
+ * or the peer's own answer to a release, is evidence. Peers without evidence are alike, whether they have claimed
+ * something or not: a connection that has just been opened must not give way to one with an old claim.
  */
 enum CallerEvidence {
     /** No valid INVITE has arrived. */
@@ -29,4 +30,13 @@
     double evictableAfterMs() {
         return evictableAfterMs;
     }
+
+    /** Returns whether a connection with this evidence is evicted before one with the other that is silent longer. */
+    boolean isEvictedBefore(CallerEvidence other) {
+        return other.isProven() && compareTo(other) < 0;
+    }
+
+    private boolean isProven() {
+        return this == PROVEN || this == ESTABLISHED_CALL;
+    }
 }
--- a/src/main/java/damsonseam/node/CallerListener.java
+++ b/src/main/java/damsonseam/node/CallerListener.java
@@ -166,7 +166,7 @@
     private boolean evictOne(double now) {
         CallerConnection evicted = null;
         for (CallerConnection connection : connections) {
-            boolean weakest = evicted == null || connection.evidence().compareTo(evicted.evidence()) < 0;
+            boolean weakest = evicted == null || connection.evidence().isEvictedBefore(evicted.evidence());
             if (weakest && connection.isEvictable(now)) {
                 evicted = connection;
             }
@@ -208,9 +208,10 @@
 
     /**
      * Returns another connection on which a release may be sent, or null. Calls are not bound to a connection, and
-     * callers need not be on one host. A connection with a call that a server has answered certainly belongs to a caller
-     * and is preferred, one on the same host before others. Otherwise a connection on the same host is chosen, that of a
-     * proven caller before one that has only sent a set-up. Among equals the one with the latest message wins.
+     * callers need not be on one host. A connection with a call that a server has answered certainly belongs to a
+     * caller and is preferred, one on the same host before others. Otherwise a connection on the same host is chosen,
+     * that of a proven caller before one that has only sent a set-up. Among equals the one with the latest message
+     * wins.
      *
      * @param original the connection that the call belongs to, or null
      * @param excluded the connection on which the release was sent before, or null
--- a/src/test/java/damsonseam/node/ReportedCallsTest.java
+++ b/src/test/java/damsonseam/node/ReportedCallsTest.java
@@ -21,6 +21,8 @@
 class ReportedCallsTest {
     /** More connections than the node of the fixture accepts from callers. */
     private static final int BAD_CLIENTS = 200;
+    /** Connections that the node of the fixture accepts from callers: 256 descriptors less 72 and 42 reserved ones. */
+    private static final int CONNECTION_LIMIT = 142;
     /** A peer that reports calls is owed a refusal, an error or a close within this time of connecting. */
     private static final long CLOSE_MS = 3_000;
 
@@ -65,6 +67,32 @@
         }
     }
 
+    // Guards against evicting a caller whose set-up waits unread after a pause, in place of a peer with an old claim.
+    @Test
+    void callerWhoseSetUpWaitsUnreadAfterPauseIsNotEvicted() throws Exception {
+        try (NodeFixture fixture = new NodeFixture(1)) {
+            SipSocket server = fixture.acceptServerConnection(0);
+            for (int i = 0; i < CONNECTION_LIMIT; i++) {
+                fixture.closeLater(SipSocket.connect(fixture.node.address())).send(report(8_000 + i));
+            }
+            Awaitility.await().until(() -> fixture.node.openCalls() == CONNECTION_LIMIT);
+            SipSocket caller = fixture.closeLater(SipSocket.connect(fixture.node.address()));
+            Awaitility.await().until(() -> fixture.node.callerListener().isAccepting());
+            SipMessage invite = fixture.invite();
+            try (AutoCloseable paused = fixture.pauseEventLoop()) {
+                assertNotNull(paused);
+                // Accepted before the set-up is read, these need room.
+                for (int i = 0; i < 3; i++) {
+                    fixture.closeLater(SipSocket.connect(fixture.node.address()));
+                }
+                caller.send(invite);
+                Thread.sleep(150);
+            }
+            server.send(NodeFixture.okResponse(server.receive("INVITE")));
+            assertEquals(200, caller.receive(1_000).status());
+        }
+    }
+
     // Guards against taken-back set-ups that held the connection limit for two seconds.
     @Test
     void callersGetInBesideManySetUpsTakenBack() throws Exception {
