Front node: a burst of bad clients does not evict callers with an established call

Evidence: its record has set-up, attempt and a CANCEL 0 to 6 ms later: the callers closed on a BYE that was not theirs. Cause: evictOne took the weakest among those that may be evicted now. In the burst no bad client was silent for 60 ms, so callers with an established call and 2 s of silence went, and the releases of their calls to other connections. Fix: a connection with an established call does not give way while a peer without evidence and without a call is there.

--- a/src/main/java/damsonseam/node/CallerConnection.java
+++ b/src/main/java/damsonseam/node/CallerConnection.java
@@ -75,6 +75,10 @@
         return channel.isActive();
     }
 
+    boolean hasPendingCalls() {
+        return !pendingCalls.isEmpty();
+    }
+
     /** Returns what shows that the peer is a caller with something to lose. */
     CallerEvidence evidence() {
         if (establishedCalls > 0) {
--- a/src/main/java/damsonseam/node/CallerEvidence.java
+++ b/src/main/java/damsonseam/node/CallerEvidence.java
@@ -36,7 +36,8 @@
         return other.isProven() && compareTo(other) < 0;
     }
 
-    private boolean isProven() {
+    /** Returns whether the peer is known to be a caller. */
+    boolean isProven() {
         return this == PROVEN || this == ESTABLISHED_CALL;
     }
 }
--- a/src/main/java/damsonseam/node/CallerListener.java
+++ b/src/main/java/damsonseam/node/CallerListener.java
@@ -162,16 +162,25 @@
         }
     }
 
-    /** Closes the connection with the weakest evidence and returns true, or returns false if none may be evicted. */
+    /**
+     * Closes the connection with the weakest evidence and returns true, or returns false if none may be evicted. A
+     * connection with an established call does not give way while a peer without evidence needs a moment longer: the
+     * release of the call would have no sure way to its caller.
+     */
     private boolean evictOne(double now) {
         CallerConnection evicted = null;
+        boolean hasUnprovenPeer = false;
         for (CallerConnection connection : connections) {
+            if (connection.hasPendingCalls()) {
+                continue;
+            }
+            hasUnprovenPeer |= !connection.evidence().isProven();
             boolean weakest = evicted == null || connection.evidence().isEvictedBefore(evicted.evidence());
             if (weakest && connection.isEvictable(now)) {
                 evicted = connection;
             }
         }
-        if (evicted == null) {
+        if (evicted == null || evicted.evidence() == CallerEvidence.ESTABLISHED_CALL && hasUnprovenPeer) {
             return false;
         }
         evictedConnections++;
