--- a/review/src-2/Vanish.java
+++ b/review/src-2/Vanish.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.Map;
 
-/** The machine of a signalling server vanishes for 4 s and returns cold; the list tells its new start after 10 s. */
+/** The machine of a signalling server vanishes for 3.9 s and returns cold; the list tells its new start after 10 s. */
 final class Vanish {
     private static final int AWAY_MS = 3900;
     private static final int TOLD_AFTER_MS = 10_000;
