--- a/review/src-2/Flood.java
+++ b/review/src-2/Flood.java
@@ -115,6 +115,9 @@
                 + " answered later than " + (TIMER_MS + SLACK_MS) + " ms, " + served + " served, " + refused
                 + " refused or failed in time; process alive: " + node.process.isAlive() + "; answers to bad clients: "
                 + badAnswered + "; 10 s after these had gone, " + again + " of 4 calls were answered";
+        Rig.log("the server ran " + server.setUpTimes.size() + " set-ups, of them "
+                + sent.keySet().stream().filter(server.ran::containsKey).count() + " of the " + sent.size()
+                + " calls of usual clients; the bad clients' connections and the server's are not recorded one by one");
         Rig.log(result);
         return none + late > 0 || again < 4 || !node.process.isAlive() ? result : null;
     }
