Front node: the memory that peers make it hold is bounded in bytes, for all together

Cause: calls, connections and message sizes were bounded each, their product was not: 6,144 offers of 16 KiB at a heap of 64 MB, 16 reads of 64 KiB of each connection in one turn of the loop, 950 half messages or 64 unread outputs of 256 KiB at 16 MB of direct memory, 10,000 adopted calls with a Request-URI of 16 KiB.

Change: MemoryLimits derives limits from the heap and the direct memory. UnansweredCallMemory refuses calls beyond a dynamic threshold of the connection, CallerBuffers closes the connections that hold most, one read of 16 KiB of a connection per turn, values kept with a call at most 256 characters. A failing timer no longer ends the ticks, and a process whose event loop has ended exits.

--- a/src/main/java/damsonseam/cli/NodeCommand.java
+++ b/src/main/java/damsonseam/cli/NodeCommand.java
@@ -24,6 +24,8 @@
             "Reads the JSON file named by NODE_CONFIG. SIGHUP reloads it; SIGTERM drains the node and ends it."
         })
 final class NodeCommand implements Callable<Integer> {
+    private static final long LIVENESS_CHECK_INTERVAL_MS = 1_000;
+
     @Option(
             names = "--rehearse",
             description = "Run some calls through a node on loopback and exit, with 1 if one was not established.")
@@ -60,7 +62,9 @@
             }
             NodeServer node = NodeServer.start(NodeConfig.read(config));
             signals.onStarted(() -> reload(config, node));
-            signals.awaitShutdown();
+            while (!signals.awaitShutdown(LIVENESS_CHECK_INTERVAL_MS)) {
+                haltIfEventLoopEnded(node);
+            }
             node.drain();
             Logging.flush();
         } catch (SettingsException e) {
@@ -73,6 +77,15 @@
         return RootCommand.EXIT_OK;
     }
 
+    /** Ends the process if its event loop has ended: it would take connections and answer nothing. */
+    private static void haltIfEventLoopEnded(NodeServer node) {
+        if (!node.isEventLoopAlive()) {
+            System.err.println("damsonseam: the event loop has ended, see the error before");
+            // Exit hooks may need what the event loop ran out of.
+            Runtime.getRuntime().halt(RootCommand.EXIT_FAILED);
+        }
+    }
+
     /** Reloads the configuration. An invalid file leaves the previous configuration in effect. */
     private static void reload(Path config, NodeServer node) {
         Logger log = LoggerFactory.getLogger(NodeCommand.class);
--- a/src/main/java/damsonseam/cli/ProcessSignals.java
+++ b/src/main/java/damsonseam/cli/ProcessSignals.java
@@ -1,6 +1,7 @@
 package damsonseam.cli;
 
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Reload and shutdown requests of process signals; accepts them from before the program has started. A reload requested
@@ -40,8 +41,8 @@
         return shutdownLatch.getCount() == 0;
     }
 
-    /** Blocks until a shutdown is requested. */
-    void awaitShutdown() throws InterruptedException {
-        shutdownLatch.await();
+    /** Blocks until a shutdown is requested or the time is over; returns whether a shutdown is requested. */
+    boolean awaitShutdown(long timeoutMs) throws InterruptedException {
+        return shutdownLatch.await(timeoutMs, TimeUnit.MILLISECONDS);
     }
 }
--- a/src/main/java/damsonseam/core/Counters.java
+++ b/src/main/java/damsonseam/core/Counters.java
@@ -10,6 +10,8 @@
     public long refused;
     /** Calls refused because the call table was full; included in {@link #refused}. */
     public long refusedTableFull;
+    /** Calls refused because the front had no memory left for them; included in {@link #refused}. */
+    public long refusedOutOfMemory;
     /** Calls answered as failed, including unknown numbers. */
     public long failed;
     /** Calls failed by the core shortly before their deadline because the policy had not answered them. */
--- a/src/main/java/damsonseam/core/Router.java
+++ b/src/main/java/damsonseam/core/Router.java
@@ -180,6 +180,16 @@
         return call;
     }
 
+    /** Refuses a call that the front has no memory for, with the advice to call again later. */
+    public void refuseCall(double at, String number, int callClass, boolean redialled, Caller caller) {
+        advanceClock(at);
+        CallRecord call = new CallRecord(calls.nextId(), number, callClass, redialled, now, now, caller);
+        counters.received++;
+        counters.refusedOutOfMemory++;
+        adjustUnanswered(call, 1);
+        finishCall(call, FinalAnswer.refused(settings.policy().maxRetryAfter().orElse(0), "out of call memory"));
+    }
+
     private CallRecord registerCall(
             double at, String number, int callClass, double timeLeft, double age, boolean redialled, Caller caller) {
         advanceClock(at);
--- a/src/main/java/damsonseam/loop/CoreLoop.java
+++ b/src/main/java/damsonseam/loop/CoreLoop.java
@@ -4,6 +4,8 @@
 import io.netty.channel.EventLoop;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Drives the core on one Netty event loop: delivers periodic ticks and ends the batch of events after the loop has read
@@ -11,6 +13,7 @@
  * That method must be called on the event loop's thread.
  */
 public final class CoreLoop {
+    private static final Logger LOG = LoggerFactory.getLogger(CoreLoop.class);
     /** After an iteration longer than this, the sockets may have remained unread for too long. */
     private static final long LONG_ITERATION_NS = 10_000_000;
     /** Maximum number of additional iterations to wait for while iterations are long. */
@@ -43,14 +46,17 @@
     public void start(Runnable onTick, Runnable onBatchEnd) {
         this.onBatchEnd = onBatchEnd;
         long intervalNs = (long) (tickIntervalMs * 1_000_000);
-        ticks = eventLoop.scheduleWithFixedDelay(
-                () -> {
-                    onTick.run();
-                    scheduleBatchEnd();
-                },
-                intervalNs,
-                intervalNs,
-                TimeUnit.NANOSECONDS);
+        ticks = eventLoop.scheduleWithFixedDelay(() -> runTick(onTick), intervalNs, intervalNs, TimeUnit.NANOSECONDS);
+    }
+
+    /** Runs a tick; its failure must not end the ticks, as it concerns one call and they serve all. */
+    private void runTick(Runnable onTick) {
+        try {
+            onTick.run();
+        } catch (RuntimeException | Error e) {
+            LOG.atError().setCause(e).log("internal error in a tick");
+        }
+        scheduleBatchEnd();
     }
 
     /** Returns the time of the front's clock, in milliseconds. */
--- a/src/main/java/damsonseam/node/CallerConnection.java
+++ b/src/main/java/damsonseam/node/CallerConnection.java
@@ -46,6 +46,10 @@
     private final SipWriter writer;
     /** Calls whose INVITE arrived here and has no final response yet; bounded by the core's call table. */
     private final Set<NodeCall> pendingCalls = new HashSet<>();
+    /** Heap held by {@link #pendingCalls}, in bytes. */
+    private long pendingCallBytes;
+    /** Bytes held by this connection's buffers, as of the last refresh. */
+    private int bufferedBytes;
 
     private InetAddress remoteHost;
     /** Number of calls whose caller used this connection last and that a server has answered. */
@@ -153,6 +157,27 @@
             // Bounds the memory used for a caller that sends requests and does not read the responses.
             close("does not read responses");
         }
+        listener.onBuffersChanged(this);
+    }
+
+    /** Returns the bytes held by the buffers of this connection, as of the last refresh. */
+    int bufferedBytes() {
+        return bufferedBytes;
+    }
+
+    /** Sets the bytes held by the buffers to zero; returns what they were. */
+    int clearBufferedBytes() {
+        int previous = bufferedBytes;
+        bufferedBytes = 0;
+        return previous;
+    }
+
+    /** Determines the bytes held for the unfinished message and for unsent responses; returns the change. */
+    int refreshBufferedBytes() {
+        int unsentBytes = CallerListener.MAX_UNSENT_BYTES - (int) channel.bytesBeforeUnwritable();
+        int previous = bufferedBytes;
+        bufferedBytes = channel.isActive() ? decoder.bufferedBytes() + unsentBytes : 0;
+        return bufferedBytes - previous;
     }
 
     /** Closes the connection and logs the reason. */
@@ -201,9 +226,19 @@
         }
     }
 
-    /** Removes a call from the pending ones, since its INVITE gets its final response. */
+    private void addPending(NodeCall call) {
+        if (pendingCalls.add(call)) {
+            pendingCallBytes += call.unansweredBytes;
+            listener.unansweredCallMemory().add(call.unansweredBytes);
+        }
+    }
+
+    /** Removes a call from the pending ones, since its INVITE gets its final response or none. */
     void removePending(NodeCall call) {
-        pendingCalls.remove(call);
+        if (pendingCalls.remove(call)) {
+            pendingCallBytes -= call.unansweredBytes;
+            listener.unansweredCallMemory().remove(call.unansweredBytes);
+        }
     }
 
     @Override
@@ -229,9 +264,10 @@
     private void abandonPending() {
         if (!pendingCalls.isEmpty()) {
             listener.router().advanceClock(listener.loop().now());
-            new ArrayList<>(pendingCalls)
-                    .forEach(call -> listener.callRegistry().abandon(call));
-            pendingCalls.clear();
+            new ArrayList<>(pendingCalls).forEach(call -> {
+                removePending(call);
+                listener.callRegistry().abandon(call);
+            });
             listener.loop().scheduleBatchEnd();
         }
     }
@@ -264,6 +300,7 @@
         midMessageSinceMs = !decoder.isMidMessage()
                 ? Double.NaN
                 : Double.isNaN(midMessageSinceMs) ? lastReceivedMs : midMessageSinceMs;
+        listener.onBuffersChanged(this);
         ctx.fireChannelReadComplete();
     }
 
@@ -337,7 +374,11 @@
                 message.cseq(),
                 message.body(),
                 this);
-        pendingCalls.add(call);
+        if (!listener.unansweredCallMemory().admits(pendingCallBytes, call.unansweredBytes)) {
+            listener.router().refuseCall(now, setUp.number(), setUp.classIndex(), setUp.redial(), call);
+            return;
+        }
+        addPending(call);
         callRegistry.add(call);
         callRegistry.attachRecord(
                 call,
@@ -361,7 +402,7 @@
         if (existing.caller == this
                 && pendingCalls.contains(existing)
                 && !Arrays.equals(existing.offer, message.body())) {
-            pendingCalls.remove(existing);
+            removePending(existing);
             listener.callRegistry().abandon(existing);
         }
         reply(message, REQUEST_MERGED, "Request Merged");
@@ -410,7 +451,7 @@
 
     private void terminate(NodeCall call) {
         CallerConnection owner = call.caller;
-        owner.pendingCalls.remove(call);
+        owner.removePending(call);
         listener.callRegistry().abandon(call);
         owner.send(SipMessage.response(REQUEST_TERMINATED, "Request Terminated", call.callId, call.cseq), null);
     }
--- a/src/main/java/damsonseam/node/CallerListener.java
+++ b/src/main/java/damsonseam/node/CallerListener.java
@@ -49,6 +49,8 @@
     private final InviteParser inviteParser;
     private final CallRegistry callRegistry;
     private final ServerEndpoints serverEndpoints;
+    private final CallerBuffers buffers;
+    private final UnansweredCallMemory unansweredCallMemory;
     /** File descriptors for callers and servers together. */
     private final int maxDescriptors;
 
@@ -69,12 +71,15 @@
             CallRegistry callRegistry,
             ServerEndpoints serverEndpoints,
             int maxDescriptors,
+            MemoryLimits memoryLimits,
             BooleanSupplier ready) {
         this.loop = loop;
         this.inviteParser = inviteParser;
         this.callRegistry = callRegistry;
         this.serverEndpoints = serverEndpoints;
         this.maxDescriptors = maxDescriptors;
+        buffers = new CallerBuffers(memoryLimits.callerBufferBytes());
+        unansweredCallMemory = new UnansweredCallMemory(memoryLimits.unansweredCallBytes());
         this.ready = ready;
     }
 
@@ -94,7 +99,8 @@
                         new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPTS_PER_ITERATION))
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(ChannelOption.ALLOCATOR, NodeServer.ALLOCATOR)
+                .childOption(ChannelOption.ALLOCATOR, NodeBuffers.ALLOCATOR)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, NodeBuffers.receiveBuffers())
                 .childOption(
                         ChannelOption.WRITE_BUFFER_WATER_MARK,
                         new WriteBufferWaterMark(MAX_UNSENT_BYTES / 2, MAX_UNSENT_BYTES))
@@ -213,6 +219,32 @@
 
     void onClosed(CallerConnection connection) {
         connections.remove(connection);
+        buffers.remove(connection);
+    }
+
+    /** Accounts for the buffers of a connection that was read or written, and closes connections beyond the limit. */
+    void onBuffersChanged(CallerConnection connection) {
+        if (connections.contains(connection) && buffers.update(connection)) {
+            enforceBufferLimit();
+        }
+    }
+
+    private void enforceBufferLimit() {
+        CallerConnection excess = buffers.excessConnection(connections);
+        while (excess != null) {
+            connections.remove(excess);
+            buffers.remove(excess);
+            excess.close("holds the most buffer memory");
+            excess = buffers.excessConnection(connections);
+        }
+    }
+
+    UnansweredCallMemory unansweredCallMemory() {
+        return unansweredCallMemory;
+    }
+
+    CallerBuffers buffers() {
+        return buffers;
     }
 
     /**
@@ -257,6 +289,7 @@
     }
 
     private void sweep(double now) {
+        loop.timers().schedule(now + SWEEP_INTERVAL_MS, this::sweep);
         Set<InetAddress> provenHosts = new HashSet<>();
         connections.forEach(connection -> {
             if (connection.isProvenCaller()) {
@@ -271,7 +304,6 @@
         });
         expired.forEach(connection -> connection.close("silent or idle"));
         enforceConnectionLimit(now);
-        loop.timers().schedule(now + SWEEP_INTERVAL_MS, this::sweep);
     }
 
     boolean isReady() {
--- a/src/main/java/damsonseam/node/CoordinatorClient.java
+++ b/src/main/java/damsonseam/node/CoordinatorClient.java
@@ -117,7 +117,7 @@
                 .group(loop.eventLoop())
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.ALLOCATOR, NodeServer.ALLOCATOR)
+                .option(ChannelOption.ALLOCATOR, NodeBuffers.ALLOCATOR)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
--- a/src/main/java/damsonseam/node/InviteParser.java
+++ b/src/main/java/damsonseam/node/InviteParser.java
@@ -12,6 +12,8 @@
 final class InviteParser {
     private static final int CALL_ID_LENGTH = 16;
     private static final int MAX_NUMBER_LENGTH = 64;
+    /** Limit of each value that is kept as long as the call, to bound the memory of a call. */
+    private static final int MAX_KEPT_VALUE_LENGTH = 256;
     /** Largest accepted X-Timer-Ms: a day, far beyond any deadline. */
     private static final double MAX_TIMER_MS = 86_400_000;
 
@@ -85,8 +87,13 @@
     /** Parses an INVITE and checks the form and range of every value. */
     SetUpRequest parse(SipMessage invite) throws InvalidInviteException {
         require(isCallId(invite.callId()), "a Call-ID of 16 hex digits");
-        require(invite.cseqNumber() >= 0 && invite.cseqMethod().equals(SipMessage.INVITE), "CSeq with INVITE");
+        require(
+                invite.cseqNumber() >= 0
+                        && invite.cseqMethod().equals(SipMessage.INVITE)
+                        && invite.cseq().length() <= MAX_KEPT_VALUE_LENGTH,
+                "CSeq with INVITE");
         String requestUri = invite.requestUri();
+        require(requestUri.length() <= MAX_KEPT_VALUE_LENGTH, "a shorter Request-URI");
         int atSign = requestUri.indexOf('@');
         require(
                 requestUri.startsWith(SIP_SCHEME)
@@ -101,6 +108,7 @@
         String reattempt = invite.headers().get("X-Reattempt");
         require(reattempt == null || reattempt.equals("1") || reattempt.equals("0"), "X-Reattempt as 1");
         String legs = invite.headers().get("X-Legs");
+        require(legs == null || legs.length() <= MAX_KEPT_VALUE_LENGTH, "a shorter X-Legs");
         int destinationCell = -1;
         String establishedServerId = null;
         for (String pair : legs == null || legs.isBlank() ? new String[0] : legs.split(";")) {
--- a/src/main/java/damsonseam/node/NodeCall.java
+++ b/src/main/java/damsonseam/node/NodeCall.java
@@ -12,6 +12,9 @@
  * loop only.
  */
 final class NodeCall implements RouterPorts.Caller {
+    /** Heap of an unanswered call beside its offer: its records here, in the core and in the routing policy. */
+    private static final int CALL_OBJECTS_BYTES = 2 << 10;
+
     /** The caller's Call-ID. */
     final String callId;
     /** The Request-URI of the INVITE. */
@@ -42,6 +45,8 @@
     ServerEndpoint establishedServer;
     /** Whether a server has answered or released the call: evidence that it exists, which its caller's word is not. */
     boolean namedByServer;
+    /** Heap that the call holds until its final answer, in bytes. */
+    final int unansweredBytes;
     /** When the call was established, in milliseconds of the node's clock. */
     double establishedAtMs;
 
@@ -64,6 +69,7 @@
         this.cseq = cseq;
         this.offer = offer;
         this.caller = caller;
+        unansweredBytes = CALL_OBJECTS_BYTES + (offer == null ? 0 : offer.length);
     }
 
     /** Records that an attempt broke or was cancelled at a server, which may have established it all the same. */
--- a/src/main/java/damsonseam/node/NodeServer.java
+++ b/src/main/java/damsonseam/node/NodeServer.java
@@ -10,8 +10,6 @@
 import damsonseam.core.RouterSettings;
 import damsonseam.loop.CallLog;
 import damsonseam.loop.CoreLoop;
-import io.netty.buffer.ByteBufAllocator;
-import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -31,8 +29,6 @@
  */
 public final class NodeServer implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(NodeServer.class);
-    /** Buffers from one arena of 256 KiB chunks without thread caches, as only the event loop allocates. */
-    static final ByteBufAllocator ALLOCATOR = new PooledByteBufAllocator(true, 1, 1, 8192, 5, 0, 0, true);
     /** Tick of the loop: well below the policy's sweep interval of 20 ms. */
     private static final double TICK_MS = 2;
     /** How long before its deadline the core fails a call that is still unanswered; the policy acts sooner. */
@@ -42,7 +38,7 @@
 
     private static final double DEFAULT_CONNECT_TIMEOUT_MS = 500;
     private static final int DEFAULT_MAX_OPEN_CALLS = 20_000;
-    /** Open calls allowed per megabyte of memory: in the worst case a call holds two bodies of 16 KiB. */
+    /** Open calls allowed per megabyte of memory; {@link UnansweredCallMemory} bounds what they hold. */
     private static final int CALLS_PER_MB = 32;
     /** File descriptors of the process itself: some 55 jars, pipes, the selector, the listener, and some in reserve. */
     private static final int RESERVED_DESCRIPTORS = 72;
@@ -63,11 +59,12 @@
     private final CoordinatorClient coordinator;
     private final Router router;
     private final List<CallClass> classes;
+    private volatile Thread eventLoopThread;
     private double lastTickMs;
     private boolean draining;
     private boolean closed;
 
-    private NodeServer(NodeConfig config) {
+    private NodeServer(NodeConfig config, MemoryLimits memoryLimits) {
         this.config = config;
         group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         loop = new CoreLoop((EventLoop) group.next(), TICK_MS);
@@ -84,7 +81,8 @@
                 config.settings().connectTimeout().orElse(DEFAULT_CONNECT_TIMEOUT_MS),
                 maxServerConnections,
                 config.seed(),
-                policySettings.mayProbe().orElse(false));
+                policySettings.mayProbe().orElse(false),
+                memoryLimits.serverUnsentBytes());
         // Callers that send set-ups use up to a third of the descriptors; the rest is for peers that only connect.
         callerListener = new CallerListener(
                 loop,
@@ -92,6 +90,7 @@
                 callRegistry,
                 serverEndpoints,
                 config.maxSockets() - RESERVED_DESCRIPTORS,
+                memoryLimits,
                 this::isReady);
         coordinator = new CoordinatorClient(loop, serverEndpoints, config.coordinator(), config.seed());
         int maxOpenCalls = Math.min(
@@ -114,7 +113,11 @@
 
     /** Starts a front node and returns when its port is open. */
     public static NodeServer start(NodeConfig config) throws IOException {
-        NodeServer node = new NodeServer(config);
+        return start(config, MemoryLimits.ofVirtualMachine());
+    }
+
+    static NodeServer start(NodeConfig config, MemoryLimits memoryLimits) throws IOException {
+        NodeServer node = new NodeServer(config, memoryLimits);
         try {
             node.listen();
         } catch (IOException e) {
@@ -126,6 +129,7 @@
 
     private void listen() throws IOException {
         callOnLoop(() -> {
+            eventLoopThread = Thread.currentThread();
             callRegistry.start(router);
             pendingReleases.start(router, callerListener);
             serverEndpoints.start(router);
@@ -161,6 +165,11 @@
         return callerListener.address();
     }
 
+    /** Returns whether the thread of the event loop runs; without it nothing is answered any more. */
+    public boolean isEventLoopAlive() {
+        return eventLoopThread.isAlive();
+    }
+
     /** Applies a new configuration: its updates and the coordinator's address; nothing else changes at run time. */
     public void reload(NodeConfig newConfig) {
         if (!loop.eventLoop().isShuttingDown()) {
--- a/src/main/java/damsonseam/node/PendingReleases.java
+++ b/src/main/java/damsonseam/node/PendingReleases.java
@@ -189,10 +189,10 @@
     }
 
     private void sweep(double now) {
+        loop.timers().schedule(now + SWEEP_INTERVAL_MS, this::sweep);
         pending.values().removeIf(release -> now - release.createdAtMs > MAX_AGE_MS);
         if (callersConfirm) {
             retransmit(release -> release.connection != null && now - release.sentAtMs > CONFIRMATION_TIMEOUT_MS);
         }
-        loop.timers().schedule(now + SWEEP_INTERVAL_MS, this::sweep);
     }
 }
--- a/src/main/java/damsonseam/node/ServerConnector.java
+++ b/src/main/java/damsonseam/node/ServerConnector.java
@@ -12,9 +12,6 @@
 
 /** Opens TCP connections to signalling servers. */
 final class ServerConnector {
-    /** Bytes waiting to be sent beyond which a server is considered not to read. */
-    private static final int MAX_UNSENT_BYTES = 256 << 10;
-
     private ServerConnector() {}
 
     /** Begins to open a connection; the endpoint is notified when it is open, the future tells whether it failed. */
@@ -23,11 +20,12 @@
                 .group(context.loop().eventLoop())
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.ALLOCATOR, NodeServer.ALLOCATOR)
+                .option(ChannelOption.ALLOCATOR, NodeBuffers.ALLOCATOR)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, NodeBuffers.receiveBuffers())
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) context.connectTimeoutMs())
                 .option(
                         ChannelOption.WRITE_BUFFER_WATER_MARK,
-                        new WriteBufferWaterMark(MAX_UNSENT_BYTES / 2, MAX_UNSENT_BYTES))
+                        new WriteBufferWaterMark(context.maxUnsentBytes() / 2, context.maxUnsentBytes()))
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
--- a/src/main/java/damsonseam/node/ServerEndpoints.java
+++ b/src/main/java/damsonseam/node/ServerEndpoints.java
@@ -25,6 +25,8 @@
     private static final RouterPorts.SendFailure UNREACHABLE =
             new RouterPorts.SendFailure(AttemptStatus.UNREACHABLE, RejectReason.NONE);
     private static final double SWEEP_INTERVAL_MS = 250;
+    /** Limit of the bytes waiting to be sent on one connection, however much memory there is. */
+    private static final int MAX_UNSENT_BYTES = 256 << 10;
 
     /**
      * What all endpoints share.
@@ -36,6 +38,7 @@
      * @param hasCapacity whether one more connection is allowed beside the first to each server
      * @param random source of the jitter that keeps front nodes out of step
      * @param probesAllowed whether the settings allow probes
+     * @param maxUnsentBytes bytes waiting to be sent on a connection beyond which its server is considered not to read
      */
     record EndpointContext(
             CoreLoop loop,
@@ -44,7 +47,8 @@
             double connectTimeoutMs,
             BooleanSupplier hasCapacity,
             SplittableRandom random,
-            boolean probesAllowed) {}
+            boolean probesAllowed,
+            int maxUnsentBytes) {}
 
     private final EndpointContext context;
     private final int maxConnections;
@@ -57,6 +61,7 @@
      * @param maxConnections limit of the connections to all servers together, beyond which each gets only one
      * @param seed seed of the jitter
      * @param probesAllowed whether the settings allow probes
+     * @param maxUnsentBytes limit of the bytes waiting to be sent to all servers together
      */
     ServerEndpoints(
             CoreLoop loop,
@@ -65,7 +70,8 @@
             double connectTimeoutMs,
             int maxConnections,
             long seed,
-            boolean probesAllowed) {
+            boolean probesAllowed,
+            long maxUnsentBytes) {
         this.maxConnections = maxConnections;
         context = new EndpointContext(
                 loop,
@@ -77,7 +83,8 @@
                                 .sum()
                         < maxConnections,
                 new SplittableRandom(seed),
-                probesAllowed);
+                probesAllowed,
+                (int) Math.min(MAX_UNSENT_BYTES, maxUnsentBytes / maxConnections));
     }
 
     void start(Router router) {
@@ -141,9 +148,9 @@
     }
 
     private void sweep(double now) {
+        context.loop().timers().schedule(now + SWEEP_INTERVAL_MS, this::sweep);
         endpoints.values().forEach(endpoint -> endpoint.sweep(now));
         endpoints.values().removeIf(ServerEndpoint::isObsolete);
-        context.loop().timers().schedule(now + SWEEP_INTERVAL_MS, this::sweep);
     }
 
     @Override
--- a/src/main/java/damsonseam/sip/SipDecoder.java
+++ b/src/main/java/damsonseam/sip/SipDecoder.java
@@ -23,6 +23,8 @@
 
     private static final String SIP_VERSION = "SIP/2.0";
     private static final int MAX_TOKEN_LENGTH = 64;
+    /** Heap used for the objects of one parsed header, beside its characters. */
+    private static final int HEADER_OBJECT_BYTES = 120;
 
     private SipMessage head;
     private int bodyBytes;
@@ -35,6 +37,14 @@
         setCumulator(MERGE_CUMULATOR);
     }
 
+    /** Returns the memory held for the unfinished message, in bytes: its buffer, and the headers already parsed. */
+    public int bufferedBytes() {
+        return internalBuffer().capacity()
+                + (head == null
+                        ? 0
+                        : 2 * headBytes + HEADER_OBJECT_BYTES * head.headers().size());
+    }
+
     /** Returns whether part of an unfinished message has been received. */
     public boolean isMidMessage() {
         return head != null || actualReadableBytes() > 0;
--- a/src/test/java/damsonseam/cli/ProcessSignalsTest.java
+++ b/src/test/java/damsonseam/cli/ProcessSignalsTest.java
@@ -29,6 +29,6 @@
         assertFalse(signals.isShutdownRequested());
         signals.requestShutdown();
         assertTrue(signals.isShutdownRequested());
-        signals.awaitShutdown();
+        assertTrue(signals.awaitShutdown(1_000));
     }
 }
--- a/src/test/java/damsonseam/node/NodeFixture.java
+++ b/src/test/java/damsonseam/node/NodeFixture.java
@@ -44,10 +44,31 @@
 
     /** Starts a node with these servers, after applying a change to the text of its configuration. */
     NodeFixture(List<ServerSocket> listeners, UnaryOperator<String> configChange) throws Exception {
+        this(listeners, configChange, MemoryLimits.ofVirtualMachine());
+    }
+
+    /** Starts a node with these servers and memory limits, after applying a change to its configuration. */
+    NodeFixture(List<ServerSocket> listeners, UnaryOperator<String> configChange, MemoryLimits memoryLimits)
+            throws Exception {
         serverSockets.addAll(listeners);
         this.configChange = configChange;
-        node = NodeServer.start(
-                NodeConfig.fromJson(new ObjectMapper().readTree(configJson(coordinatorSocket.getLocalPort()))));
+        node = NodeServer.start(parsedConfig(coordinatorSocket.getLocalPort()), memoryLimits);
+    }
+
+    /** Returns the heap that the calls without a final answer hold. */
+    long unansweredCallBytes() throws Exception {
+        return node.loop()
+                .eventLoop()
+                .submit(() -> node.callerListener().unansweredCallMemory().heldBytes())
+                .get();
+    }
+
+    /** Returns the bytes that the callers' unfinished messages and unsent responses hold. */
+    long callerBufferBytes() throws Exception {
+        return node.loop()
+                .eventLoop()
+                .submit(() -> node.callerListener().buffers().heldBytes())
+                .get();
     }
 
     static List<ServerSocket> listenOnPorts(int count) throws IOException {
