Front node: releases to a server are pending until it has them; silence is judged by the 8 s

Cause: a BYE to a server was written once and forgotten, and a call that ended on a guess (silence, a refused connection, a delisted server's last connection) was not released at the server at all. Two guesses were made too easily: 5 s of silence where the platform allows 8 s, and at the limit of connections a server without probes could not be asked.

Change: PendingServerReleases keeps each release until there is evidence that the server has it, and repeats it on another connection. What ends on a guess is owed a release. Attempts that ended without a response are released once their call is over here. Silence of 7 s ends calls, a probe goes out after 0.5 s, and where probes are not allowed an idle connection gives way to a new one.

AmbiguousReleaseTest: its stand-in answered only one probe of a connection that it uses. Silent servers are now probed sooner, so it answers each; what is checked stays. The fixture's sockets no longer wait for ever for a connection.

--- a/src/main/java/damsonseam/node/ServerConnection.java
+++ b/src/main/java/damsonseam/node/ServerConnection.java
@@ -22,7 +22,12 @@
     private final SipWriter writer;
     private int outstandingAttempts;
     private boolean suspect;
+    private boolean closedByNode;
+    private double openedAtMs;
     private double lastReceivedMs;
+    private long receivedBytes;
+    /** When the first probe was sent since the last message here; NaN if there was none. */
+    private double unansweredProbeSinceMs = Double.NaN;
 
     ServerConnection(ServerEndpoint endpoint, Channel channel, SipDecoder decoder) {
         this.endpoint = endpoint;
@@ -79,12 +84,36 @@
     }
 
     void close() {
+        closedByNode = true;
         channel.close();
     }
 
+    /** Returns when the connection was opened, in milliseconds of the loop's clock. */
+    double openedAtMs() {
+        return openedAtMs;
+    }
+
+    /** Returns whether the connection was closed or reset by the server, and not by this node. */
+    boolean isEndedByPeer() {
+        return !closedByNode;
+    }
+
+    /** Records that a probe was sent here. */
+    void onProbeSent(double now) {
+        if (Double.isNaN(unansweredProbeSinceMs)) {
+            unansweredProbeSinceMs = now;
+        }
+    }
+
+    /** Returns since when a probe sent here has had no response and nothing else has arrived; NaN if there is none. */
+    double unansweredProbeSinceMs() {
+        return unansweredProbeSinceMs;
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         recordActivity();
+        openedAtMs = lastReceivedMs;
         endpoint.onConnected(this);
     }
 
@@ -96,8 +125,12 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
-        // Part of a message counts as activity: a message is stuck only when nothing more of it arrives.
-        recordActivity();
+        // Part of a message counts as activity: a message is stuck only when nothing more of it arrives. The end of the
+        // connection, which is read too, does not.
+        if (decoder.receivedBytes() > receivedBytes) {
+            receivedBytes = decoder.receivedBytes();
+            recordActivity();
+        }
         endpoint.onReadComplete(this);
         ctx.fireChannelReadComplete();
     }
@@ -105,6 +138,7 @@
     private void recordActivity() {
         lastReceivedMs = endpoint.now();
         suspect = false;
+        unansweredProbeSinceMs = Double.NaN;
     }
 
     @Override
@@ -125,6 +159,7 @@
                 && !(reason instanceof IllegalArgumentException)) {
             LOG.atError().setCause(reason).log("internal error while handling a message from a server");
         }
-        close();
+        closedByNode |= !(reason instanceof IOException);
+        channel.close();
     }
 }
--- a/src/main/java/damsonseam/node/ServerEndpoint.java
+++ b/src/main/java/damsonseam/node/ServerEndpoint.java
@@ -6,7 +6,6 @@
 import damsonseam.RoutingPolicy.ServerState;
 import damsonseam.core.Router;
 import damsonseam.core.ServerList;
-import damsonseam.sip.SipHeaders;
 import damsonseam.sip.SipMessage;
 import java.net.ConnectException;
 import java.util.ArrayDeque;
@@ -18,6 +17,7 @@
 import java.util.Map;
 import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -26,8 +26,8 @@
  * goes out on the connection with the fewest outstanding attempts; while every connection carries one, a further
  * connection is opened for the next set-up. A failure of one connection then affects few calls.
  *
- * <p>Used on the event loop only. Bounds: {@link #MAX_CONNECTIONS} connections, {@link #MAX_QUEUED_REQUESTS} attempts
- * and as many BYE requests waiting for one, {@link #MAX_CANCELLED_ATTEMPTS} cancelled attempts.
+ * <p>Used on the event loop only. Bounds: {@link #MAX_CONNECTIONS} connections, {@link #MAX_QUEUED_ATTEMPTS} attempts
+ * waiting for one, {@link #MAX_CANCELLED_ATTEMPTS} cancelled attempts.
  */
 final class ServerEndpoint {
     private static final Logger LOG = LoggerFactory.getLogger(ServerEndpoint.class);
@@ -36,17 +36,30 @@
 
     private static final double INITIAL_BACKOFF_MS = 50;
     private static final double MAX_BACKOFF_MS = 1_000;
-    /** Limit of the attempts, and of the BYE requests, that wait for a connection. */
-    private static final int MAX_QUEUED_REQUESTS = 1_000;
+    /** Limit of the attempts that wait for a connection. */
+    private static final int MAX_QUEUED_ATTEMPTS = 1_000;
     /** Cancelled attempts that are remembered, so that a 200 which crossed the CANCEL is followed by a BYE. */
     private static final int MAX_CANCELLED_ATTEMPTS = 1_000;
-    /** Silence after which a server with established calls is probed. */
-    private static final double PROBE_AFTER_MS = 2_000;
+    /** The platform requires the release of a call within this time of its end, even if the end was not reported. */
+    private static final double RELEASE_DEADLINE_MS = 8_000;
+    /** Part of {@link #RELEASE_DEADLINE_MS} that is kept for the delivery of the release to the caller. */
+    private static final double RELEASE_DELIVERY_MS = 1_000;
     /**
-     * Silence after which the calls established at a server are released as failed: the platform requires the release
-     * of a call within 8 s of its end, even if the end was not reported.
+     * Silence after which the calls established at a server are released as failed. A process that ended did so no
+     * earlier than its last message.
      */
-    private static final double DEAD_AFTER_MS = 5_000;
+    private static final double MAX_SILENCE_MS = RELEASE_DEADLINE_MS - RELEASE_DELIVERY_MS;
+    /**
+     * Silence after which a server with established calls is probed: a partition begins no later than the first probe
+     * without a response, so one of 6 s is over before {@link #MAX_SILENCE_MS}.
+     */
+    private static final double PROBE_AFTER_MS = 500;
+    /** Time between two rounds of probes to a silent server. */
+    private static final double PROBE_INTERVAL_MS = 500;
+    /** Silence after which a server is asked by a new connection, on which it reports first. */
+    private static final double CONNECT_AFTER_MS = 2_000;
+    /** Time between two such connections. */
+    private static final double CONNECT_INTERVAL_MS = 1_000;
     /** How long a message may stay unfinished: longer than any TCP retransmission takes. */
     private static final double STUCK_AFTER_MS = 1_000;
 
@@ -57,18 +70,17 @@
     private final Map<String, ServerAttempt> attempts = new HashMap<>();
     private final ArrayDeque<ServerAttempt> queuedAttempts = new ArrayDeque<>();
     private final Set<NodeCall> establishedCalls = new HashSet<>();
-    private final Map<String, String> cancelledAttempts = new LinkedHashMap<>() {
+    private final Map<String, CancelledAttempt> cancelledAttempts = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
 
         @Override
-        protected boolean removeEldestEntry(Map.Entry<String, String> eldest) {
+        protected boolean removeEldestEntry(Map.Entry<String, CancelledAttempt> eldest) {
             return size() > MAX_CANCELLED_ATTEMPTS;
         }
     };
     private final ServerProbes probes;
     private final AmbiguousReleases ambiguousReleases;
-    /** BYE requests that wait for a connection. */
-    private final ArrayDeque<SipMessage> queuedByes = new ArrayDeque<>();
+    private final PendingServerReleases releases = new PendingServerReleases(this);
 
     private boolean connecting;
     /** Whether another connection was lost while the present connection attempt was under way. */
@@ -87,8 +99,19 @@
 
     private boolean backingOff;
     private double backoffMs = INITIAL_BACKOFF_MS;
+    /** Whether the node has closed this endpoint for good. */
+    private boolean closed;
+
     private double lastReceivedMs;
+    /** Since when calls are established here; the current time while there is none. */
+    private double callsSinceMs;
+
     private double lastProbedMs;
+    /** When a connection was last opened to find out whether the server is alive. */
+    private double lastConnectedToAskMs;
+
+    /** An attempt that was cancelled after it had been sent on a connection and has no final response yet. */
+    private record CancelledAttempt(String callId, String requestUri, ServerConnection connection) {}
 
     ServerEndpoint(ServerEndpoints.EndpointContext context, Router router, ServerList.Server server) {
         this.context = context;
@@ -97,6 +120,7 @@
         probes = new ServerProbes(context, router, server.id());
         ambiguousReleases = new AmbiguousReleases(context.loop(), this::onReleaseEffective);
         lastReceivedMs = context.loop().now();
+        callsSinceMs = lastReceivedMs;
         connect();
     }
 
@@ -156,7 +180,7 @@
         double startedAtMs = updated.startedAt().orElse(Double.NEGATIVE_INFINITY);
         if (startedAtMs > previous.startedAt().orElse(Double.NEGATIVE_INFINITY)) {
             // The calls established at the previous process ended with it, reported or not.
-            cutCalls(call -> call.establishedAtMs < startedAtMs);
+            endCallsOfEndedProcess(call -> call.establishedAtMs < startedAtMs);
         }
         if (!updated.address().equals(previous.address())) {
             List.copyOf(connections).forEach(ServerConnection::close);
@@ -184,7 +208,7 @@
         replaced = true;
         active = false;
         failUnsent();
-        cutCalls(call -> true);
+        endCallsOfEndedProcess(call -> true);
         List.copyOf(connections).forEach(ServerConnection::close);
     }
 
@@ -195,11 +219,12 @@
                 && connections.isEmpty()
                 && establishedCalls.isEmpty()
                 && attempts.isEmpty()
+                && releases.isEmpty()
                 && !connecting;
     }
 
     private void closeIfUnused() {
-        if (!active && establishedCalls.isEmpty() && attempts.isEmpty()) {
+        if (!active && establishedCalls.isEmpty() && attempts.isEmpty() && releases.isEmpty()) {
             List.copyOf(connections).forEach(ServerConnection::close);
         }
     }
@@ -207,10 +232,10 @@
     // ---- Connections ------------------------------------------------------------------------------------
 
     /** Opens one more connection if the limits allow it; returns whether one is being opened. */
-    private boolean connect() {
+    boolean connect() {
         boolean hasCapacity = connections.isEmpty()
                 || connections.size() < MAX_CONNECTIONS && context.hasCapacity().getAsBoolean();
-        if (connecting || !active || !hasCapacity) {
+        if (connecting || !mayConnect() || !hasCapacity) {
             return connecting;
         }
         connecting = true;
@@ -222,22 +247,24 @@
         return true;
     }
 
+    /** Returns whether connections may be opened: for set-ups, or for the releases owed to a server that was delisted. */
+    private boolean mayConnect() {
+        return active || !closed && !replaced && !releases.isEmpty();
+    }
+
     /** Adds an established connection and sends what waited for one. */
     void onConnected(ServerConnection connection) {
         connecting = false;
         connectAttemptCompleted = true;
         backoffMs = INITIAL_BACKOFF_MS;
         connections.add(connection);
-        lastReceivedMs = Math.max(lastReceivedMs, now() - PROBE_AFTER_MS);
         assignQueued(connection);
         replacementNeeded = connectAgain;
         if (connectAgain) {
             connectAgain = false;
             connect();
         }
-        for (SipMessage bye = queuedByes.poll(); bye != null; bye = queuedByes.poll()) {
-            connection.send(bye, null);
-        }
+        releases.onConnected(connection);
         if (!active && !establishedCalls.isEmpty() && context.probesAllowed()) {
             // The list dropped the server while this connection was being opened: it is probed like the others.
             probes.send(connection, false);
@@ -264,9 +291,8 @@
         failQueued();
         if (connections.isEmpty()) {
             if (cause instanceof ConnectException && !(cause instanceof io.netty.channel.ConnectTimeoutException)) {
-                // Connection refused: the process has ended, and its calls with it.
-                cutCalls(call -> true);
-                queuedByes.clear();
+                // Connection refused: the process has probably ended, but a full one may refuse connections, too.
+                releaseCallsAtBothSides(call -> true);
             }
         }
         if (isConnectionNeeded()) {
@@ -295,6 +321,7 @@
         for (ServerAttempt attempt : List.copyOf(attempts.values())) {
             if (attempt.connection == connection && attempt.sent) {
                 attempt.nodeCall.recordBrokenAttempt(this);
+                releases.addUncertain(attempt.nodeCall.callId, attempt.nodeCall.requestUri);
                 endAttempt(attempt, AttemptStatus.RESET, RejectReason.NONE, ServerLoadReport.NONE);
             } else if (attempt.connection == connection) {
                 reassign(attempt);
@@ -302,14 +329,22 @@
         }
         probes.onDisconnected(connection, now());
         ambiguousReleases.onDisconnected(connection);
+        cancelledAttempts.values().removeIf(attempt -> {
+            boolean lost = attempt.connection == connection;
+            if (lost) {
+                releases.addUncertain(attempt.callId, attempt.requestUri);
+            }
+            return lost;
+        });
+        releases.onDisconnected(connection);
         if (connections.isEmpty() && !active) {
-            cutCalls(call -> true);
+            releaseCallsAtBothSides(call -> true);
         }
         context.loop().scheduleBatchEnd();
     }
 
     private void scheduleReconnect() {
-        if (!active || backingOff) {
+        if (!mayConnect() || backingOff) {
             return;
         }
         // All front nodes lose a server at the same time: a delay of half to all of the backoff spreads them.
@@ -335,9 +370,21 @@
      * @param includeDoubtful whether a connection that the server may have given up is better than none
      */
     private ServerConnection leastLoadedConnection(boolean includeDoubtful) {
+        return leastLoadedConnection(includeDoubtful, null);
+    }
+
+    /** Returns the best connection for a BYE, or null if there is none beside the excluded one. */
+    ServerConnection connectionForRelease(ServerConnection excluded) {
+        return leastLoadedConnection(true, excluded);
+    }
+
+    private ServerConnection leastLoadedConnection(boolean includeDoubtful, ServerConnection excluded) {
         ServerConnection best = null;
         ServerConnection bestDoubtful = null;
         for (ServerConnection connection : connections) {
+            if (connection == excluded) {
+                continue;
+            }
             if (connection.acceptsSetUps()) {
                 best = lessLoaded(connection, best);
             } else if (connection.isUsable()) {
@@ -365,7 +412,7 @@
 
     private boolean tryAssignConnection(ServerAttempt attempt) {
         ServerConnection connection = leastLoadedConnection(false);
-        if (connection == null && queuedAttempts.size() < MAX_QUEUED_REQUESTS && connect()) {
+        if (connection == null && queuedAttempts.size() < MAX_QUEUED_ATTEMPTS && connect()) {
             queuedAttempts.add(attempt);
             return true;
         }
@@ -433,7 +480,8 @@
         }
         attempt.connection.onCancelled(attempt.sentAtMs);
         attempt.nodeCall.recordBrokenAttempt(this);
-        cancelledAttempts.put(attempt.key(), attempt.nodeCall.requestUri);
+        cancelledAttempts.put(
+                attempt.key(), new CancelledAttempt(callId, attempt.nodeCall.requestUri, attempt.connection));
         attempt.connection.send(
                 SipMessage.request(SipMessage.CANCEL, attempt.nodeCall.requestUri, callId, index + 1), written -> {
                     router.releaseConfirmed(now(), recordId, index);
@@ -467,30 +515,43 @@
         }
     }
 
-    /** Sends the BYE of an established call, or queues it while there is no connection. */
+    /** Releases a call at the server, as soon as there is a connection and until the server is known to know. */
     void sendBye(String callId, String requestUri) {
-        LOG.atDebug()
-                .addKeyValue("id", callId)
-                .addKeyValue("server", server.id())
-                .log("BYE sent to server");
-        SipMessage bye = SipMessage.request(SipMessage.BYE, requestUri, callId, 2)
-                .addHeader(SipHeaders.REASON, "Q.850;cause=16");
-        ServerConnection connection = leastLoadedConnection(true);
-        if (connection != null) {
-            connection.send(bye, null);
-        } else if (queuedByes.size() < MAX_QUEUED_REQUESTS) {
-            queuedByes.add(bye);
-        }
-        closeIfUnused();
+        releases.send(callId, requestUri, CallRegistry.CAUSE_NORMAL_CLEARING);
+    }
+
+    /** Returns the number of BYE requests that the server may still confirm in time. */
+    long releasesAwaitingConfirmation() {
+        return releases.countAwaitingConfirmation();
     }
 
-    private void cutCalls(java.util.function.Predicate<NodeCall> filter) {
+    /** Ends the calls of a process that is known to have ended, and releases them to their callers. */
+    private void endCallsOfEndedProcess(Predicate<NodeCall> filter) {
+        releases.onProcessEnded();
+        endCalls(filter);
+    }
+
+    /**
+     * Ends calls of which it is not known whether they are still established at the server. Their callers are told, and
+     * the server is owed a release.
+     */
+    private void releaseCallsAtBothSides(Predicate<NodeCall> filter) {
+        endCalls(filter)
+                .forEach(call -> releases.send(call.callId, call.requestUri, CallRegistry.CAUSE_TEMPORARY_FAILURE));
+    }
+
+    private List<NodeCall> endCalls(Predicate<NodeCall> filter) {
         router.advanceClock(now());
-        for (NodeCall call : List.copyOf(establishedCalls)) {
-            if (filter.test(call)) {
-                context.callRegistry().onReleasedByServer(call, AttemptStatus.RESET, ServerLoadReport.NONE);
-            }
-        }
+        List<NodeCall> ended = establishedCalls.stream().filter(filter).toList();
+        ended.forEach(
+                call -> context.callRegistry().onReleasedByServer(call, AttemptStatus.RESET, ServerLoadReport.NONE));
+        return ended;
+    }
+
+    /** Returns whether a call is established here or may make another attempt here, which a BYE would end. */
+    boolean mayUseCallAgain(String callId) {
+        NodeCall call = context.callRegistry().get(callId);
+        return call != null && (call.establishedServer == null || call.establishedServer == this);
     }
 
     // ---- Messages from the server -----------------------------------------------------------------------
@@ -500,6 +561,7 @@
         if (!isFailedProbe(message)) {
             lastReceivedMs = now;
         }
+        releases.onMessage(connection, now);
         router.fireOverdueTimers(now);
         router.advanceClock(now);
         ServerLoadReport report = parseLoadReport(message);
@@ -546,6 +608,11 @@
             onProbeResponse(connection, message, report, now);
             return;
         }
+        if (message.cseqMethod().equals(SipMessage.BYE)) {
+            releases.onConfirmed(String.valueOf(message.callId()));
+            closeIfUnused();
+            return;
+        }
         if (!message.cseqMethod().equals(SipMessage.INVITE)) {
             return;
         }
@@ -589,14 +656,20 @@
 
     /** Acknowledges a response to a cancelled attempt, and releases the call on success. Other ones are ignored. */
     private void onLateResponse(ServerConnection connection, SipMessage message, String key) {
-        String requestUri = cancelledAttempts.remove(key);
-        if (requestUri != null) {
-            connection.send(
-                    SipMessage.request(SipMessage.ACK, requestUri, message.callId(), message.cseqNumber()), null);
-            // The call's next attempt may be outstanding or established here: a BYE names the call and would end it.
-            if (message.status() < 300 && !isHandlingCall(message.callId())) {
-                sendBye(message.callId(), requestUri);
-            }
+        CancelledAttempt attempt = cancelledAttempts.remove(key);
+        if (attempt == null) {
+            return;
+        }
+        connection.send(
+                SipMessage.request(SipMessage.ACK, attempt.requestUri, attempt.callId, message.cseqNumber()), null);
+        if (message.status() >= 300) {
+            return;
+        }
+        if (isHandlingCall(attempt.callId)) {
+            // The call's next attempt is outstanding or established here: a BYE names the call and would end it.
+            releases.addUncertain(attempt.callId, attempt.requestUri);
+        } else {
+            sendBye(attempt.callId, attempt.requestUri);
         }
     }
 
@@ -609,6 +682,7 @@
 
     /** Handles the release of a call by its server. */
     private void onBye(ServerConnection connection, SipMessage message, ServerLoadReport report) {
+        releases.onReleasedByServer(String.valueOf(message.callId()));
         NodeCall call = context.callRegistry().get(String.valueOf(message.callId()));
         if (call == null) {
             onByeOfUnknownCall(message);
@@ -730,39 +804,66 @@
                 connection.close();
             }
         }
+        releases.sweep(now);
         if (establishedCalls.isEmpty()) {
+            callsSinceMs = now;
             closeIfUnused();
             return;
         }
-        double silentMs = now - lastReceivedMs;
-        if (silentMs > DEAD_AFTER_MS) {
+        checkSilence(now);
+    }
+
+    private void checkSilence(double now) {
+        double silentMs = now - Math.max(lastReceivedMs, callsSinceMs);
+        if (silentMs > MAX_SILENCE_MS) {
             LOG.atWarn()
                     .addKeyValue("server", server.id())
                     .addKeyValue("calls", establishedCalls.size())
                     .log("server silent: releasing its calls");
             List.copyOf(connections).forEach(ServerConnection::close);
-            cutCalls(call -> true);
-        } else if (silentMs > PROBE_AFTER_MS && now - lastProbedMs > PROBE_AFTER_MS / 2) {
+            releaseCallsAtBothSides(call -> true);
+            return;
+        }
+        if (context.probesAllowed() && silentMs > PROBE_AFTER_MS && now - lastProbedMs > PROBE_INTERVAL_MS) {
             probeAllConnections(now);
         }
+        if (silentMs > CONNECT_AFTER_MS && now - lastConnectedToAskMs > CONNECT_INTERVAL_MS) {
+            askByNewConnection(now);
+        }
     }
 
     /**
      * Probes every connection to find out whether the process is alive: a connection on which nothing is sent does not
-     * notice that the far end is gone.
+     * notice that the far end is gone. A second probe behind an unanswered one would not arrive any sooner.
      */
     private void probeAllConnections(double now) {
-        lastProbedMs = now;
         if (context.probesAllowed()) {
-            List.copyOf(connections).forEach(connection -> probes.send(connection, false));
-        } else {
-            connect(); // A new connection shows that the host is alive, and the server sends the first message on it.
+            lastProbedMs = now;
+            List.copyOf(connections).stream()
+                    .filter(connection -> Double.isNaN(connection.unansweredProbeSinceMs()))
+                    .forEach(connection -> probes.send(connection, false));
+        }
+    }
+
+    /**
+     * Opens a connection, on which a server that is alive sends its report first. Where there are two, or at a limit,
+     * an idle one is closed and replaced unless it can be probed, so that the server can be asked however long it has
+     * nothing to report.
+     */
+    private void askByNewConnection(double now) {
+        lastConnectedToAskMs = now;
+        if ((connections.size() > 1 || !connect()) && !context.probesAllowed()) {
+            connections.stream()
+                    .filter(connection -> connection.outstandingAttempts() == 0)
+                    .findFirst()
+                    .ifPresent(ServerConnection::close);
         }
     }
 
     /** Closes all connections when the node stops; calls established at the server go on without it. */
     void close() {
         active = false;
+        closed = true;
         establishedCalls.clear();
         List.copyOf(connections).forEach(ServerConnection::close);
     }
--- a/src/main/java/damsonseam/node/ServerEndpoints.java
+++ b/src/main/java/damsonseam/node/ServerEndpoints.java
@@ -24,7 +24,7 @@
 final class ServerEndpoints implements RouterPorts.ServerSignalling {
     private static final RouterPorts.SendFailure UNREACHABLE =
             new RouterPorts.SendFailure(AttemptStatus.UNREACHABLE, RejectReason.NONE);
-    private static final double SWEEP_INTERVAL_MS = 250;
+    private static final double SWEEP_INTERVAL_MS = 100;
     /** Limit of the bytes waiting to be sent on one connection, however much memory there is. */
     private static final int MAX_UNSENT_BYTES = 256 << 10;
 
@@ -118,6 +118,13 @@
                 .sum();
     }
 
+    /** Returns the number of BYE requests that servers may still confirm in time. */
+    long releasesAwaitingConfirmation() {
+        return endpoints.values().stream()
+                .mapToLong(ServerEndpoint::releasesAwaitingConfirmation)
+                .sum();
+    }
+
     /** Returns the file descriptors reserved for servers: the limit, or one per server if there are more servers. */
     int reservedDescriptors() {
         return Math.max(maxConnections, endpoints.size());
--- a/src/main/java/damsonseam/node/ServerProbes.java
+++ b/src/main/java/damsonseam/node/ServerProbes.java
@@ -40,6 +40,7 @@
         String probeId = String.format("%016x", (long) serverId.hashCode() << 32 | lastNumber++ & 0xffffffffL);
         Probe probe = new Probe(now, requested, connection);
         pending.put(probeId, probe);
+        connection.onProbeSent(now);
         connection.send(SipMessage.request(SipMessage.OPTIONS, PROBE_URI, probeId, 1), null);
         context.loop().timers().schedule(now + context.connectTimeoutMs(), firedAt -> {
             if (pending.remove(probeId) != null) {
--- a/src/main/java/damsonseam/node/Shutdown.java
+++ b/src/main/java/damsonseam/node/Shutdown.java
@@ -87,10 +87,11 @@
         loop.timers().schedule(now + CHECK_INTERVAL_MS, this::check);
     }
 
-    /** Returns whether no answer or release is pending and no caller's message waits to be read. */
+    /** Returns whether no answer or release is pending at either side and no caller's message waits to be read. */
     private boolean isIdle(double now) {
         return router.unansweredCalls() == 0
                 && pendingReleases.countAwaitingConfirmation() == 0
+                && serverEndpoints.releasesAwaitingConfirmation() == 0
                 && callerListener.isAccepting()
                 && now - callerListener.lastActivityMs() > 2 * CHECK_INTERVAL_MS;
     }
--- a/src/main/java/damsonseam/sip/SipDecoder.java
+++ b/src/main/java/damsonseam/sip/SipDecoder.java
@@ -31,6 +31,7 @@
     private int headBytes;
     private int scannedBytes;
     private boolean failed;
+    private long receivedBytes;
 
     /** Creates a decoder for one connection. */
     public SipDecoder() {
@@ -50,6 +51,19 @@
         return head != null || actualReadableBytes() > 0;
     }
 
+    /** Returns the number of bytes received on the connection so far. */
+    public long receivedBytes() {
+        return receivedBytes;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+        if (message instanceof ByteBuf bytes) {
+            receivedBytes += bytes.readableBytes();
+        }
+        super.channelRead(ctx, message);
+    }
+
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
         if (failed) {
--- a/src/test/java/damsonseam/node/AmbiguousReleaseTest.java
+++ b/src/test/java/damsonseam/node/AmbiguousReleaseTest.java
@@ -34,6 +34,18 @@
             SipMessage probe = own.receive("OPTIONS");
             own.send(SipMessage.response(200, "OK", probe.callId(), probe.cseq()));
         }
+
+        /** Answers each OPTIONS on the call's own connection for so long, as a server that uses it does. */
+        void answerProbes(int durationMs) throws Exception {
+            answerProbe();
+            long deadline = System.nanoTime() + durationMs * 1_000_000L;
+            while (System.nanoTime() < deadline) {
+                if (own.hasUnread()) {
+                    answerProbe();
+                }
+                Thread.sleep(5);
+            }
+        }
     }
 
     private static RetriedCall establishRetriedCall(NodeFixture fixture) throws Exception {
@@ -93,12 +105,12 @@
         try (NodeFixture fixture = new NodeFixture(1)) {
             RetriedCall call = establishRetriedCall(fixture);
             call.other().send(NodeFixture.bye(call.callId(), 16));
-            call.answerProbe();
-            assertTrue(call.caller().isQuiet(700), "BYE of the former attempt passed on");
+            call.answerProbes(700);
+            assertTrue(call.caller().isQuiet(100), "BYE of the former attempt passed on");
             // The server repeats it on the next connection.
             call.other().send(NodeFixture.bye(call.callId(), 16));
-            call.answerProbe();
-            assertTrue(call.caller().isQuiet(700), "repeated BYE of the former attempt passed on");
+            call.answerProbes(700);
+            assertTrue(call.caller().isQuiet(100), "repeated BYE of the former attempt passed on");
             call.own().send(NodeFixture.bye(call.callId(), 16));
             assertEquals(
                     call.callId(), call.caller().receiveWithinOneSecond("BYE").callId());
--- a/src/test/java/damsonseam/node/NodeFixture.java
+++ b/src/test/java/damsonseam/node/NodeFixture.java
@@ -23,6 +23,9 @@
     /** The release guard in the configuration below. */
     static final int GUARD_MS = 150;
 
+    /** Longer than any test waits for a connection, so that a missing one is a failure and no hang. */
+    private static final int ACCEPT_TIMEOUT_MS = 15_000;
+
     static final String NUMBER = "7f3a9c21e0b4d655";
 
     final List<ServerSocket> serverSockets = new ArrayList<>();
@@ -80,7 +83,9 @@
     }
 
     static ServerSocket listen() throws IOException {
-        return new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        socket.setSoTimeout(ACCEPT_TIMEOUT_MS);
+        return socket;
     }
 
     /** Returns the configuration with the coordinator at another port. */
