Front node: a new process at a server's address is noticed before the list tells

Cause: the node connects again to the address and takes who answers for the process that it knew; the evidence in the connections and reports was not used, and the first message ended the silence.

Change: the calls of the former process end, at both sides, when the last connection that was open as a probe was sent is lost to the server with the probe unanswered for 100 ms, or when a report says that all lines are free while every connection is younger than the calls.

--- a/src/main/java/damsonseam/node/ServerEndpoint.java
+++ b/src/main/java/damsonseam/node/ServerEndpoint.java
@@ -60,6 +60,10 @@
     private static final double CONNECT_AFTER_MS = 2_000;
     /** Time between two such connections. */
     private static final double CONNECT_INTERVAL_MS = 1_000;
+    /** A probe sent this long before its connection closes would have been answered by the process that had opened it. */
+    private static final double MAX_ROUND_TRIP_MS = 100;
+    /** How much older than a connection a call must be so that the first report on the connection includes it. */
+    private static final double MAX_REPORT_AGE_MS = 1_000;
     /** How long a message may stay unfinished: longer than any TCP retransmission takes. */
     private static final double STUCK_AFTER_MS = 1_000;
 
@@ -339,10 +343,28 @@
         releases.onDisconnected(connection);
         if (connections.isEmpty() && !active) {
             releaseCallsAtBothSides(call -> true);
+        } else if (isSignOfNewProcess(connection)) {
+            LOG.atWarn()
+                    .addKeyValue("server", server.id())
+                    .addKeyValue("calls", establishedCalls.size())
+                    .log("all connections lost after a silence: releasing the calls of the former process");
+            releaseCallsAtBothSides(call -> call.establishedAtMs <= connection.unansweredProbeSinceMs());
         }
         context.loop().scheduleBatchEnd();
     }
 
+    /**
+     * Returns whether the loss of a connection shows that the process at its other end has ended: the server closed or
+     * reset it with a probe unanswered, and no connection is left that was open when the probe was sent. A process that
+     * was merely cut off or busy keeps its connections and answers on them.
+     */
+    private boolean isSignOfNewProcess(ServerConnection lost) {
+        double probedAtMs = lost.unansweredProbeSinceMs();
+        return lost.isEndedByPeer()
+                && now() - probedAtMs > MAX_ROUND_TRIP_MS
+                && connections.stream().noneMatch(connection -> connection.openedAtMs() <= probedAtMs);
+    }
+
     private void scheduleReconnect() {
         if (!mayConnect() || backingOff) {
             return;
@@ -576,6 +598,7 @@
     private void onRequest(ServerConnection connection, SipMessage message, ServerLoadReport report, double now) {
         ambiguousReleases.onRequest(connection, now);
         if (message.method().equals(SipMessage.NOTIFY)) {
+            endCallsUnknownToNewProcess(report);
             router.probeCompleted(now, server.id(), false, true, 0, report);
         } else if (message.method().equals(SipMessage.BYE)) {
             connection.send(SipMessage.response(SipMessage.OK, "OK", message.callId(), message.cseq()), null);
@@ -583,6 +606,24 @@
         }
     }
 
+    /**
+     * Releases the calls of a process that was replaced unnoticed: the server reports that all lines are free, and no
+     * connection is left from the time when the calls were established.
+     */
+    private void endCallsUnknownToNewProcess(ServerLoadReport report) {
+        if (establishedCalls.isEmpty()
+                || report.lines().orElse(0) <= 0
+                || report.freeLines().orElse(0) < report.lines().getAsDouble()) {
+            return;
+        }
+        double oldestConnectionMs = connections.stream()
+                .mapToDouble(ServerConnection::openedAtMs)
+                .min()
+                .orElse(0);
+        releaseCallsAtBothSides(
+                call -> call.namedByServer && call.establishedAtMs < oldestConnectionMs - MAX_REPORT_AGE_MS);
+    }
+
     /**
      * Returns whether a message is a negative response to a probe. A process that has abandoned its calls may still
      * send these until it ends, so they are no sign that its calls are alive and do not count as activity.
