Front node: liveness of a server and cancelled attempts in classes of their own

Change: ServerLiveness (silence, probes, evidence of another process) and CancelledAttempts; the choice of a connection moves to ServerConnection, the kind of a response to ServerOutcomes. No behaviour changes.

--- a/src/main/java/damsonseam/node/ServerConnection.java
+++ b/src/main/java/damsonseam/node/ServerConnection.java
@@ -8,6 +8,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.DecoderException;
 import java.io.IOException;
+import java.util.List;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -110,6 +111,33 @@
         return unansweredProbeSinceMs;
     }
 
+    /**
+     * Returns the connection with the fewest outstanding attempts, or null if there is none.
+     *
+     * @param includeDoubtful whether a connection that the server may have given up is better than none
+     * @param excluded a connection that is not chosen, or null
+     */
+    static ServerConnection leastLoaded(
+            List<ServerConnection> connections, boolean includeDoubtful, ServerConnection excluded) {
+        ServerConnection best = null;
+        ServerConnection bestDoubtful = null;
+        for (ServerConnection connection : connections) {
+            if (connection == excluded) {
+                continue;
+            }
+            if (connection.acceptsSetUps()) {
+                best = lessLoaded(connection, best);
+            } else if (connection.isUsable()) {
+                bestDoubtful = lessLoaded(connection, bestDoubtful);
+            }
+        }
+        return best == null && includeDoubtful ? bestDoubtful : best;
+    }
+
+    private static ServerConnection lessLoaded(ServerConnection connection, ServerConnection other) {
+        return other == null || connection.outstandingAttempts < other.outstandingAttempts ? connection : other;
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         recordActivity();
--- a/src/main/java/damsonseam/node/ServerEndpoint.java
+++ b/src/main/java/damsonseam/node/ServerEndpoint.java
@@ -12,7 +12,6 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
@@ -27,7 +26,7 @@
  * connection is opened for the next set-up. A failure of one connection then affects few calls.
  *
  * <p>Used on the event loop only. Bounds: {@link #MAX_CONNECTIONS} connections, {@link #MAX_QUEUED_ATTEMPTS} attempts
- * waiting for one, {@link #MAX_CANCELLED_ATTEMPTS} cancelled attempts.
+ * waiting for one.
  */
 final class ServerEndpoint {
     private static final Logger LOG = LoggerFactory.getLogger(ServerEndpoint.class);
@@ -38,32 +37,6 @@
     private static final double MAX_BACKOFF_MS = 1_000;
     /** Limit of the attempts that wait for a connection. */
     private static final int MAX_QUEUED_ATTEMPTS = 1_000;
-    /** Cancelled attempts that are remembered, so that a 200 which crossed the CANCEL is followed by a BYE. */
-    private static final int MAX_CANCELLED_ATTEMPTS = 1_000;
-    /** The platform requires the release of a call within this time of its end, even if the end was not reported. */
-    private static final double RELEASE_DEADLINE_MS = 8_000;
-    /** Part of {@link #RELEASE_DEADLINE_MS} that is kept for the delivery of the release to the caller. */
-    private static final double RELEASE_DELIVERY_MS = 1_000;
-    /**
-     * Silence after which the calls established at a server are released as failed. A process that ended did so no
-     * earlier than its last message.
-     */
-    private static final double MAX_SILENCE_MS = RELEASE_DEADLINE_MS - RELEASE_DELIVERY_MS;
-    /**
-     * Silence after which a server with established calls is probed: a partition begins no later than the first probe
-     * without a response, so one of 6 s is over before {@link #MAX_SILENCE_MS}.
-     */
-    private static final double PROBE_AFTER_MS = 500;
-    /** Time between two rounds of probes to a silent server. */
-    private static final double PROBE_INTERVAL_MS = 500;
-    /** Silence after which a server is asked by a new connection, on which it reports first. */
-    private static final double CONNECT_AFTER_MS = 2_000;
-    /** Time between two such connections. */
-    private static final double CONNECT_INTERVAL_MS = 1_000;
-    /** A probe sent this long before its connection closes would have been answered by the process that had opened it. */
-    private static final double MAX_ROUND_TRIP_MS = 100;
-    /** How much older than a connection a call must be so that the first report on the connection includes it. */
-    private static final double MAX_REPORT_AGE_MS = 1_000;
     /** How long a message may stay unfinished: longer than any TCP retransmission takes. */
     private static final double STUCK_AFTER_MS = 1_000;
 
@@ -74,15 +47,9 @@
     private final Map<String, ServerAttempt> attempts = new HashMap<>();
     private final ArrayDeque<ServerAttempt> queuedAttempts = new ArrayDeque<>();
     private final Set<NodeCall> establishedCalls = new HashSet<>();
-    private final Map<String, CancelledAttempt> cancelledAttempts = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, CancelledAttempt> eldest) {
-            return size() > MAX_CANCELLED_ATTEMPTS;
-        }
-    };
+    private final CancelledAttempts cancelledAttempts = new CancelledAttempts();
     private final ServerProbes probes;
+    private final ServerLiveness liveness;
     private final AmbiguousReleases ambiguousReleases;
     private final PendingServerReleases releases = new PendingServerReleases(this);
 
@@ -106,25 +73,13 @@
     /** Whether the node has closed this endpoint for good. */
     private boolean closed;
 
-    private double lastReceivedMs;
-    /** Since when calls are established here; the current time while there is none. */
-    private double callsSinceMs;
-
-    private double lastProbedMs;
-    /** When a connection was last opened to find out whether the server is alive. */
-    private double lastConnectedToAskMs;
-
-    /** An attempt that was cancelled after it had been sent on a connection and has no final response yet. */
-    private record CancelledAttempt(String callId, String requestUri, ServerConnection connection) {}
-
     ServerEndpoint(ServerEndpoints.EndpointContext context, Router router, ServerList.Server server) {
         this.context = context;
         this.router = router;
         this.server = server;
         probes = new ServerProbes(context, router, server.id());
         ambiguousReleases = new AmbiguousReleases(context.loop(), this::onReleaseEffective);
-        lastReceivedMs = context.loop().now();
-        callsSinceMs = lastReceivedMs;
+        liveness = new ServerLiveness(this, probes, context.probesAllowed(), connections, now());
         connect();
     }
 
@@ -202,7 +157,7 @@
             failUnsent();
             closeIfUnused();
             if (!establishedCalls.isEmpty()) {
-                probeAllConnections(now());
+                liveness.probeAllConnections(now());
             }
         }
     }
@@ -251,7 +206,7 @@
         return true;
     }
 
-    /** Returns whether connections may be opened: for set-ups, or for the releases owed to a server that was delisted. */
+    /** Returns whether connections may be opened: for set-ups, or for releases owed to a delisted server. */
     private boolean mayConnect() {
         return active || !closed && !replaced && !releases.isEmpty();
     }
@@ -333,17 +288,13 @@
         }
         probes.onDisconnected(connection, now());
         ambiguousReleases.onDisconnected(connection);
-        cancelledAttempts.values().removeIf(attempt -> {
-            boolean lost = attempt.connection == connection;
-            if (lost) {
-                releases.addUncertain(attempt.callId, attempt.requestUri);
-            }
-            return lost;
-        });
+        cancelledAttempts
+                .removeAll(connection)
+                .forEach(attempt -> releases.addUncertain(attempt.callId(), attempt.requestUri()));
         releases.onDisconnected(connection);
         if (connections.isEmpty() && !active) {
             releaseCallsAtBothSides(call -> true);
-        } else if (isSignOfNewProcess(connection)) {
+        } else if (liveness.isSignOfNewProcess(connection, now())) {
             LOG.atWarn()
                     .addKeyValue("server", server.id())
                     .addKeyValue("calls", establishedCalls.size())
@@ -353,18 +304,6 @@
         context.loop().scheduleBatchEnd();
     }
 
-    /**
-     * Returns whether the loss of a connection shows that the process at its other end has ended: the server closed or
-     * reset it with a probe unanswered, and no connection is left that was open when the probe was sent. A process that
-     * was merely cut off or busy keeps its connections and answers on them.
-     */
-    private boolean isSignOfNewProcess(ServerConnection lost) {
-        double probedAtMs = lost.unansweredProbeSinceMs();
-        return lost.isEndedByPeer()
-                && now() - probedAtMs > MAX_ROUND_TRIP_MS
-                && connections.stream().noneMatch(connection -> connection.openedAtMs() <= probedAtMs);
-    }
-
     private void scheduleReconnect() {
         if (!mayConnect() || backingOff) {
             return;
@@ -386,38 +325,13 @@
         return connections.isEmpty() || replacementNeeded;
     }
 
-    /**
-     * Returns the connection with the fewest outstanding attempts, or null if there is none.
-     *
-     * @param includeDoubtful whether a connection that the server may have given up is better than none
-     */
     private ServerConnection leastLoadedConnection(boolean includeDoubtful) {
-        return leastLoadedConnection(includeDoubtful, null);
+        return ServerConnection.leastLoaded(connections, includeDoubtful, null);
     }
 
     /** Returns the best connection for a BYE, or null if there is none beside the excluded one. */
     ServerConnection connectionForRelease(ServerConnection excluded) {
-        return leastLoadedConnection(true, excluded);
-    }
-
-    private ServerConnection leastLoadedConnection(boolean includeDoubtful, ServerConnection excluded) {
-        ServerConnection best = null;
-        ServerConnection bestDoubtful = null;
-        for (ServerConnection connection : connections) {
-            if (connection == excluded) {
-                continue;
-            }
-            if (connection.acceptsSetUps()) {
-                best = lessLoaded(connection, best);
-            } else if (connection.isUsable()) {
-                bestDoubtful = lessLoaded(connection, bestDoubtful);
-            }
-        }
-        return best == null && includeDoubtful ? bestDoubtful : best;
-    }
-
-    private static ServerConnection lessLoaded(ServerConnection connection, ServerConnection other) {
-        return other == null || connection.outstandingAttempts() < other.outstandingAttempts() ? connection : other;
+        return ServerConnection.leastLoaded(connections, true, excluded);
     }
 
     // ---- Attempts ---------------------------------------------------------------------------------------
@@ -502,8 +416,7 @@
         }
         attempt.connection.onCancelled(attempt.sentAtMs);
         attempt.nodeCall.recordBrokenAttempt(this);
-        cancelledAttempts.put(
-                attempt.key(), new CancelledAttempt(callId, attempt.nodeCall.requestUri, attempt.connection));
+        cancelledAttempts.add(attempt);
         attempt.connection.send(
                 SipMessage.request(SipMessage.CANCEL, attempt.nodeCall.requestUri, callId, index + 1), written -> {
                     router.releaseConfirmed(now(), recordId, index);
@@ -580,8 +493,8 @@
 
     void onMessage(ServerConnection connection, SipMessage message) {
         double now = now();
-        if (!isFailedProbe(message)) {
-            lastReceivedMs = now;
+        if (!ServerOutcomes.isFailedProbe(message)) {
+            liveness.onMessage(now);
         }
         releases.onMessage(connection, now);
         router.fireOverdueTimers(now);
@@ -606,32 +519,13 @@
         }
     }
 
-    /**
-     * Releases the calls of a process that was replaced unnoticed: the server reports that all lines are free, and no
-     * connection is left from the time when the calls were established.
-     */
+    /** Releases the calls of a process that was replaced unnoticed, if the report shows it. */
     private void endCallsUnknownToNewProcess(ServerLoadReport report) {
-        if (establishedCalls.isEmpty()
-                || report.lines().orElse(0) <= 0
-                || report.freeLines().orElse(0) < report.lines().getAsDouble()) {
-            return;
+        if (!establishedCalls.isEmpty()) {
+            liveness.endOfFormerProcess(report)
+                    .ifPresent(endMs ->
+                            releaseCallsAtBothSides(call -> call.namedByServer && call.establishedAtMs < endMs));
         }
-        double oldestConnectionMs = connections.stream()
-                .mapToDouble(ServerConnection::openedAtMs)
-                .min()
-                .orElse(0);
-        releaseCallsAtBothSides(
-                call -> call.namedByServer && call.establishedAtMs < oldestConnectionMs - MAX_REPORT_AGE_MS);
-    }
-
-    /**
-     * Returns whether a message is a negative response to a probe. A process that has abandoned its calls may still
-     * send these until it ends, so they are no sign that its calls are alive and do not count as activity.
-     */
-    private static boolean isFailedProbe(SipMessage message) {
-        return !message.isRequest()
-                && message.cseqMethod().equals(SipMessage.OPTIONS)
-                && message.status() != SipMessage.OK;
     }
 
     private ServerLoadReport parseLoadReport(SipMessage message) {
@@ -697,20 +591,20 @@
 
     /** Acknowledges a response to a cancelled attempt, and releases the call on success. Other ones are ignored. */
     private void onLateResponse(ServerConnection connection, SipMessage message, String key) {
-        CancelledAttempt attempt = cancelledAttempts.remove(key);
+        CancelledAttempts.CancelledAttempt attempt = cancelledAttempts.remove(key);
         if (attempt == null) {
             return;
         }
         connection.send(
-                SipMessage.request(SipMessage.ACK, attempt.requestUri, attempt.callId, message.cseqNumber()), null);
+                SipMessage.request(SipMessage.ACK, attempt.requestUri(), attempt.callId(), message.cseqNumber()), null);
         if (message.status() >= 300) {
             return;
         }
-        if (isHandlingCall(attempt.callId)) {
+        if (isHandlingCall(attempt.callId())) {
             // The call's next attempt is outstanding or established here: a BYE names the call and would end it.
-            releases.addUncertain(attempt.callId, attempt.requestUri);
+            releases.addUncertain(attempt.callId(), attempt.requestUri());
         } else {
-            sendBye(attempt.callId, attempt.requestUri);
+            sendBye(attempt.callId(), attempt.requestUri());
         }
     }
 
@@ -847,57 +741,17 @@
         }
         releases.sweep(now);
         if (establishedCalls.isEmpty()) {
-            callsSinceMs = now;
+            liveness.onNoCalls(now);
             closeIfUnused();
             return;
         }
-        checkSilence(now);
-    }
-
-    private void checkSilence(double now) {
-        double silentMs = now - Math.max(lastReceivedMs, callsSinceMs);
-        if (silentMs > MAX_SILENCE_MS) {
+        if (liveness.checkSilence(now)) {
             LOG.atWarn()
                     .addKeyValue("server", server.id())
                     .addKeyValue("calls", establishedCalls.size())
                     .log("server silent: releasing its calls");
             List.copyOf(connections).forEach(ServerConnection::close);
             releaseCallsAtBothSides(call -> true);
-            return;
-        }
-        if (context.probesAllowed() && silentMs > PROBE_AFTER_MS && now - lastProbedMs > PROBE_INTERVAL_MS) {
-            probeAllConnections(now);
-        }
-        if (silentMs > CONNECT_AFTER_MS && now - lastConnectedToAskMs > CONNECT_INTERVAL_MS) {
-            askByNewConnection(now);
-        }
-    }
-
-    /**
-     * Probes every connection to find out whether the process is alive: a connection on which nothing is sent does not
-     * notice that the far end is gone. A second probe behind an unanswered one would not arrive any sooner.
-     */
-    private void probeAllConnections(double now) {
-        if (context.probesAllowed()) {
-            lastProbedMs = now;
-            List.copyOf(connections).stream()
-                    .filter(connection -> Double.isNaN(connection.unansweredProbeSinceMs()))
-                    .forEach(connection -> probes.send(connection, false));
-        }
-    }
-
-    /**
-     * Opens a connection, on which a server that is alive sends its report first. Where there are two, or at a limit,
-     * an idle one is closed and replaced unless it can be probed, so that the server can be asked however long it has
-     * nothing to report.
-     */
-    private void askByNewConnection(double now) {
-        lastConnectedToAskMs = now;
-        if ((connections.size() > 1 || !connect()) && !context.probesAllowed()) {
-            connections.stream()
-                    .filter(connection -> connection.outstandingAttempts() == 0)
-                    .findFirst()
-                    .ifPresent(ServerConnection::close);
         }
     }
 
--- a/src/main/java/damsonseam/node/ServerOutcomes.java
+++ b/src/main/java/damsonseam/node/ServerOutcomes.java
@@ -41,4 +41,14 @@
     static boolean isReleaseOfAnsweredCall(SipMessage bye) {
         return hasCause(bye, CallRegistry.CAUSE_NORMAL_CLEARING) || hasCause(bye, CallRegistry.CAUSE_TEMPORARY_FAILURE);
     }
+
+    /**
+     * Returns whether a message is a negative response to a probe. A process that has abandoned its calls may still
+     * send these until it ends, so they are no sign that its calls are alive and do not count as activity.
+     */
+    static boolean isFailedProbe(SipMessage message) {
+        return !message.isRequest()
+                && message.cseqMethod().equals(SipMessage.OPTIONS)
+                && message.status() != SipMessage.OK;
+    }
 }
