Front node: set-ups wait for unread bytes behind them; an id that was sent does not run again

Cause: a connection's end is read behind all its bytes, and set-ups were decided at the end of each turn of the event loop whatever waited behind them; CallRegistry forgot a call when its caller left.

Change: ReceivedSetUps holds the set-ups of a connection that is not read to its end, 0.5 s at most. RecentCalls keeps the ids of calls that had an attempt sent for 8 s; such an id gets 482.

--- a/src/main/java/damsonseam/core/Router.java
+++ b/src/main/java/damsonseam/core/Router.java
@@ -180,6 +180,11 @@
         return call;
     }
 
+    /** Counts a call that its caller abandoned before it was offered to the policy. */
+    public void callAbandonedUndecided() {
+        counters.received++;
+    }
+
     /** Refuses a call that the front has no memory for, with the advice to call again later. */
     public void refuseCall(double at, String number, int callClass, boolean redialled, Caller caller) {
         advanceClock(at);
--- a/src/main/java/damsonseam/node/CallRegistry.java
+++ b/src/main/java/damsonseam/node/CallRegistry.java
@@ -49,6 +49,7 @@
             return size() > MAX_RECENT_RELEASES;
         }
     };
+    private final RecentCalls recentCalls = new RecentCalls();
     private final PendingReleases releases;
     private final AdoptedCalls adoptedCalls = new AdoptedCalls(MAX_ADOPTED_CALLS);
     private Router router;
@@ -87,6 +88,11 @@
                 .sum();
     }
 
+    /** Returns whether a call with this id is over and had an attempt at a server, so that it must not run again. */
+    boolean isRecentCall(String callId) {
+        return recentCalls.contains(callId, router.now());
+    }
+
     /** Adds a call before it is passed to the core, which may answer it at once. */
     void add(NodeCall call) {
         byCallId.put(call.callId, call);
@@ -200,7 +206,11 @@
 
     /** Removes a call whose caller abandoned it before the final response. */
     void abandon(NodeCall call) {
-        router.callerAbandoned(router.now(), call.record);
+        if (call.record != null) {
+            router.callerAbandoned(router.now(), call.record);
+        } else {
+            router.callAbandonedUndecided();
+        }
         remove(call);
     }
 
@@ -236,6 +246,9 @@
 
     private void remove(NodeCall call) {
         if (byCallId.remove(call.callId, call)) {
+            if (call.attemptSent) {
+                recentCalls.add(call.callId, router.now());
+            }
             if (call.record != null) {
                 byRecordId.remove(call.record.id());
             }
--- a/src/main/java/damsonseam/node/CallerConnection.java
+++ b/src/main/java/damsonseam/node/CallerConnection.java
@@ -9,6 +9,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.DecoderException;
@@ -51,6 +52,8 @@
     /** Bytes held by this connection's buffers, as of the last refresh. */
     private int bufferedBytes;
 
+    private final ReceivedSetUps receivedSetUps;
+
     private InetAddress remoteHost;
     /** Number of calls whose caller used this connection last and that a server has answered. */
     private int establishedCalls;
@@ -71,6 +74,7 @@
         this.channel = channel;
         this.decoder = decoder;
         writer = new SipWriter(channel);
+        receivedSetUps = new ReceivedSetUps(listener);
     }
 
     // ---- Connection -------------------------------------------------------------------------------------
@@ -301,9 +305,23 @@
                 ? Double.NaN
                 : Double.isNaN(midMessageSinceMs) ? lastReceivedMs : midMessageSinceMs;
         listener.onBuffersChanged(this);
+        routeReceivedSetUps();
         ctx.fireChannelReadComplete();
     }
 
+    private void routeReceivedSetUps() {
+        RecvByteBufAllocator.Handle handle = channel.unsafe().recvBufAllocHandle();
+        boolean endOfStream = handle.lastBytesRead() < 0;
+        if (!endOfStream) {
+            receivedSetUps.onReadComplete(handle.lastBytesRead() == handle.attemptedBytesRead());
+        }
+    }
+
+    /** Passes the set-ups that have been read to the core, whether or not more bytes wait in the socket. */
+    void routeAllReceivedSetUps() {
+        receivedSetUps.routeAll();
+    }
+
     // ---- Requests ---------------------------------------------------------------------------------------
 
     @Override
@@ -365,6 +383,10 @@
             rejectMerged(message, existing);
             return;
         }
+        if (callRegistry.isRecentCall(setUp.callId())) {
+            reply(message, REQUEST_MERGED, "Request Merged");
+            return;
+        }
         NodeCall call = new NodeCall(
                 callRegistry,
                 setUp.callId(),
@@ -380,18 +402,7 @@
         }
         addPending(call);
         callRegistry.add(call);
-        callRegistry.attachRecord(
-                call,
-                listener.router()
-                        .routedCallReceived(
-                                now,
-                                setUp.number(),
-                                setUp.classIndex(),
-                                setUp.destinationCell(),
-                                setUp.patienceMs(),
-                                listener.router().maxReadAge(now),
-                                setUp.redial(),
-                                call));
+        receivedSetUps.add(call, setUp, now);
     }
 
     /**
--- a/src/main/java/damsonseam/node/CallerListener.java
+++ b/src/main/java/damsonseam/node/CallerListener.java
@@ -339,6 +339,11 @@
         return lastActivityMs;
     }
 
+    /** Passes all set-ups that have been read to the core. */
+    void routeAllReceivedSetUps() {
+        connections.forEach(CallerConnection::routeAllReceivedSetUps);
+    }
+
     /** Closes the port, and lets each connection close once its caller has read all that was written to it. */
     void finish() {
         channel.close();
--- a/src/main/java/damsonseam/node/NodeCall.java
+++ b/src/main/java/damsonseam/node/NodeCall.java
@@ -47,6 +47,8 @@
     boolean namedByServer;
     /** Heap that the call holds until its final answer, in bytes. */
     final int unansweredBytes;
+    /** Whether an attempt of the call has been sent to a server. */
+    boolean attemptSent;
     /** When the call was established, in milliseconds of the node's clock. */
     double establishedAtMs;
 
--- a/src/main/java/damsonseam/node/ServerEndpoint.java
+++ b/src/main/java/damsonseam/node/ServerEndpoint.java
@@ -389,6 +389,7 @@
         attempt.sent = true;
         attempt.sentAtMs = now();
         NodeCall call = attempt.nodeCall;
+        call.attemptSent = true;
         SipMessage invite = SipMessage.request(
                         SipMessage.INVITE, call.requestUri, call.callId, attempt.index + 1, call.offer)
                 .addHeader("X-Cos", call.className)
--- a/src/main/java/damsonseam/node/Shutdown.java
+++ b/src/main/java/damsonseam/node/Shutdown.java
@@ -103,6 +103,7 @@
                 .addKeyValue("releases", pendingReleases.size())
                 .addKeyValue("callers", callerListener.connectionCount())
                 .log("closing");
+        callerListener.routeAllReceivedSetUps();
         router.closeUnansweredCalls(now);
         // Before the callers: a BYE from now on is for the front node with which the server connects next.
         serverEndpoints.close();
--- a/src/test/java/damsonseam/node/CallerAbandonsCallTest.java
+++ b/src/test/java/damsonseam/node/CallerAbandonsCallTest.java
@@ -1,13 +1,18 @@
 package damsonseam.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import damsonseam.sip.SipMessage;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -21,6 +26,10 @@
 class CallerAbandonsCallTest {
     /** Much longer than the time from a set-up to its attempt. */
     private static final int QUIET_PERIOD_MS = 300;
+    /** More than one turn of the event loop reads of a connection, and less than the system's buffers take. */
+    private static final int UNREAD_SET_UPS = 300;
+
+    private static final int UNREAD_BODY_BYTES = 4_000;
 
     /** How a caller abandons its call. */
     private interface AbandonAction {
@@ -157,4 +166,90 @@
             }
         }
     }
+
+    /** Asserts that no INVITE arrives for a while; probes may. */
+    private static void assertNoInvite(SipSocket server) throws IOException {
+        try {
+            while (true) {
+                SipMessage message = server.receive(QUIET_PERIOD_MS);
+                assertNotNull(message, "the node closed the connection");
+                assertNotEquals(SipMessage.INVITE, message.method(), message.toString());
+            }
+        } catch (SocketTimeoutException e) {
+            // Nothing more arrives.
+        }
+    }
+
+    // Guards against set-ups that were sent on although their caller's close waited unread behind them.
+    @Test
+    void noAttemptForSetUpsWhoseCallerClosedBehindManyUnreadBytes() throws Exception {
+        try (NodeFixture fixture = new NodeFixture(1)) {
+            SipSocket server = fixture.acceptServerConnection(0);
+            fixture.connectCaller();
+            try (AutoCloseable paused = fixture.pauseEventLoop()) {
+                assertNotNull(paused);
+                SipSocket caller = SipSocket.connect(fixture.node.address());
+                Thread writer = new Thread(() -> sendManyInvitesAndClose(fixture, caller));
+                writer.start();
+                writer.join(2_000);
+                assertFalse(writer.isAlive(), "the system's buffers do not take all set-ups");
+            }
+            assertNoInvite(server);
+            fixture.awaitEmpty();
+        }
+    }
+
+    private static void sendManyInvitesAndClose(NodeFixture fixture, SipSocket caller) {
+        try {
+            for (int i = 0; i < UNREAD_SET_UPS; i++) {
+                SipMessage invite = fixture.invite();
+                caller.send(SipMessage.request(
+                                SipMessage.INVITE, invite.requestUri(), invite.callId(), 1, new byte[UNREAD_BODY_BYTES])
+                        .addHeader("X-Cos", "dear")
+                        .addHeader("X-Timer-Ms", "1500"));
+            }
+            caller.close();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    // Guards against an id that runs twice as it comes again after its caller has left.
+    @Test
+    void idOfCallThatWasSentIsNotSetUpAgain() throws Exception {
+        try (NodeFixture fixture = new NodeFixture(1)) {
+            SipSocket server = fixture.acceptServerConnection(0);
+            SipSocket caller = fixture.connectCaller();
+            SipMessage invite = fixture.invite();
+            caller.send(invite);
+            SipMessage received = server.receive("INVITE");
+            caller.close();
+            assertNotNull(server.receive("CANCEL"));
+            server.send(SipMessage.response(487, "Request Terminated", received.callId(), received.cseq()));
+            SipSocket again = fixture.connectCaller();
+            again.send(invite);
+            assertEquals(482, again.receive().status());
+            assertNoInvite(server);
+            fixture.awaitEmpty();
+        }
+    }
+
+    @Test
+    void idOfCallThatWasNeverSentIsSetUp() throws Exception {
+        try (NodeFixture fixture = new NodeFixture(1)) {
+            SipSocket server = fixture.acceptServerConnection(0);
+            SipSocket caller = fixture.connectCaller();
+            SipMessage invite = fixture.invite();
+            try (AutoCloseable paused = fixture.pauseEventLoop()) {
+                assertNotNull(paused);
+                caller.send(invite);
+                caller.close();
+            }
+            fixture.awaitEmpty();
+            SipSocket again = fixture.connectCaller();
+            again.send(invite);
+            server.send(NodeFixture.okResponse(server.receive("INVITE")));
+            assertEquals(200, again.receive().status());
+        }
+    }
 }
--- a/src/test/java/damsonseam/node/SipSocket.java
+++ b/src/test/java/damsonseam/node/SipSocket.java
@@ -138,6 +138,15 @@
         }
     }
 
+    /** Reads to the end of the stream without decoding, as fast as the far end sends. */
+    void discardAll() throws IOException {
+        byte[] buffer = new byte[65_536];
+        socket.setSoTimeout(0);
+        while (socket.getInputStream().read(buffer) >= 0) {
+            // Only read.
+        }
+    }
+
     /** Returns the next message that has been read already, or null. */
     SipMessage pollBuffered() {
         return decoder.readInbound();
