--- a/src/main/java/damsonseam/node/CallerConnection.java
+++ b/src/main/java/damsonseam/node/CallerConnection.java
@@ -39,6 +39,7 @@
     private static final int CALL_DOES_NOT_EXIST = 481;
     private static final int REQUEST_MERGED = 482;
     private static final int REQUEST_TERMINATED = 487;
+    private static final int MESSAGE_TOO_LARGE = 513;
     private static final int SERVICE_UNAVAILABLE = 503;
 
     private final CallerListener listener;
@@ -369,6 +370,10 @@
             reply(message, BAD_REQUEST, "Bad Request: " + e.getMessage());
             return;
         }
+        if (setUp.forwardedBytes() > SipDecoder.MAX_MESSAGE_BYTES) {
+            reply(message, MESSAGE_TOO_LARGE, "Message Too Large");
+            return;
+        }
         CallRegistry callRegistry = listener.callRegistry();
         if (!inviteReceived) {
             inviteReceived = true;
--- a/src/main/java/damsonseam/node/InviteParser.java
+++ b/src/main/java/damsonseam/node/InviteParser.java
@@ -3,6 +3,7 @@
 import damsonseam.settings.LoadReportParser;
 import damsonseam.settings.PlatformSettings;
 import damsonseam.sip.SipMessage;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 
 /**
@@ -18,6 +19,9 @@
     private static final double MAX_TIMER_MS = 86_400_000;
 
     private static final int MAX_LEG_VALUE = 65_535;
+    /** Size of the start line and the header fields of a forwarded INVITE without the caller's values. */
+    private static final int FORWARDED_HEAD_BYTES = 256;
+
     private static final String SIP_SCHEME = "sip:";
 
     private final List<String> classNames;
@@ -55,6 +59,7 @@
      * @param destinationCell cell of the destination, or -1
      * @param establishedServerId id of the server at which the call is established already, or null
      * @param legs the value of X-Legs, or null
+     * @param forwardedBytes largest size of the INVITE that is sent to a server for it
      */
     record SetUpRequest(
             String callId,
@@ -66,7 +71,8 @@
             boolean redial,
             int destinationCell,
             String establishedServerId,
-            String legs) {}
+            String legs,
+            int forwardedBytes) {}
 
     /** An INVITE that is not valid; the message says what was expected. */
     static final class InvalidInviteException extends Exception {
@@ -141,7 +147,21 @@
                 "1".equals(reattempt),
                 destinationCell,
                 establishedServerId,
-                legs);
+                legs,
+                forwardedBytes(invite, className, legs));
+    }
+
+    /** Returns the largest size of the INVITE to a server, which has the node's own header fields. */
+    private static int forwardedBytes(SipMessage invite, String className, String legs) {
+        return invite.body().length
+                + utf8Length(invite.requestUri())
+                + utf8Length(className)
+                + (legs == null ? 0 : utf8Length(legs))
+                + FORWARDED_HEAD_BYTES;
+    }
+
+    private static int utf8Length(String text) {
+        return text.getBytes(StandardCharsets.UTF_8).length;
     }
 
     private static double parseBoundedNumber(String text, double min, double max, String name)
--- a/src/main/java/damsonseam/node/PendingServerReleases.java
+++ b/src/main/java/damsonseam/node/PendingServerReleases.java
@@ -9,10 +9,10 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * The releases owed to one server. A release is owed from the end of its call at this node until there is evidence that
- * the server has received it or has ended the call itself, until its process is known to have ended, or for
- * {@link #MAX_AGE_MS}. That a BYE was written is no such evidence: the server may have given the connection up, or may
- * be cut off.
+ * The BYE requests that one server has not confirmed yet. A release is pending from the end of its call at this node
+ * until there is evidence that the server has received it or has ended the call itself, until its process is known to
+ * have ended, or for {@link #MAX_AGE_MS}. That a BYE was written is no such evidence: the server may have given the
+ * connection up, or may be cut off.
  *
  * <p>Evidence of receipt is a response to the BYE. Servers may omit that; until a first one has been received, a later
  * message on the same connection counts, too. An unconfirmed BYE is sent again on another connection, at once if its
--- a/src/main/java/damsonseam/node/ReceivedSetUps.java
+++ b/src/main/java/damsonseam/node/ReceivedSetUps.java
@@ -19,7 +19,7 @@
     private final CallerListener listener;
     private final ArrayDeque<ReceivedSetUp> waiting = new ArrayDeque<>();
     private long readCount;
-    /** Whether a read has filled its buffer, and no turn of the event loop since has found the socket empty. */
+    /** Whether a read has filled its buffer, and no event-loop iteration since has found the socket empty. */
     private boolean backlogged;
 
     private boolean checkScheduled;
--- a/src/main/java/damsonseam/node/ServerEndpoint.java
+++ b/src/main/java/damsonseam/node/ServerEndpoint.java
@@ -206,7 +206,7 @@
         return true;
     }
 
-    /** Returns whether connections may be opened: for set-ups, or for releases owed to a delisted server. */
+    /** Returns whether connections may be opened: for set-ups, or for pending releases to a delisted server. */
     private boolean mayConnect() {
         return active || !closed && !replaced && !releases.isEmpty();
     }
@@ -469,7 +469,7 @@
 
     /**
      * Ends calls of which it is not known whether they are still established at the server. Their callers are told, and
-     * the server is owed a release.
+     * the server gets a release, too.
      */
     private void releaseCallsAtBothSides(Predicate<NodeCall> filter) {
         endCalls(filter)
--- a/src/test/java/damsonseam/node/CallerAbandonsCallTest.java
+++ b/src/test/java/damsonseam/node/CallerAbandonsCallTest.java
@@ -26,7 +26,7 @@
 class CallerAbandonsCallTest {
     /** Much longer than the time from a set-up to its attempt. */
     private static final int QUIET_PERIOD_MS = 300;
-    /** More than one turn of the event loop reads of a connection, and less than the system's buffers take. */
+    /** More than one event-loop iteration reads of a connection, and less than the system's buffers take. */
     private static final int UNREAD_SET_UPS = 300;
 
     private static final int UNREAD_BODY_BYTES = 4_000;
--- a/src/test/java/damsonseam/node/LargeRequestFloodTest.java
+++ b/src/test/java/damsonseam/node/LargeRequestFloodTest.java
@@ -1,12 +1,15 @@
 package damsonseam.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import damsonseam.sip.SipDecoder;
+import damsonseam.sip.SipEncoder;
 import damsonseam.sip.SipHeaders;
 import damsonseam.sip.SipMessage;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.UnpooledByteBufAllocator;
 import java.io.IOException;
 import java.net.SocketTimeoutException;
 import java.nio.file.Path;
@@ -198,7 +201,31 @@
         try (NodeFixture fixture = new NodeFixture(1)) {
             assertTrue(fixture.node.isEventLoopAlive());
             fixture.node.close();
-            assertFalse(fixture.node.isEventLoopAlive());
+            Awaitility.await().until(() -> !fixture.node.isEventLoopAlive());
         }
     }
+
+    // Guards against messages of more than 16 KiB to servers, which close the connection with all that is open on it.
+    @Test
+    void requestThatWouldGrowBeyondTheLimitIsRefusedAndTheLargestOtherIsForwarded() throws Exception {
+        try (NodeFixture fixture = new NodeFixture(1)) {
+            SipSocket server = fixture.acceptServerConnection(0);
+            SipSocket caller = fixture.connectCaller();
+            caller.send(inviteOfSize(SipDecoder.MAX_MESSAGE_BYTES));
+            assertEquals(513, caller.receive().status());
+            caller.send(inviteOfSize(SipDecoder.MAX_MESSAGE_BYTES - 300));
+            SipMessage forwarded = server.receive("INVITE");
+            ByteBuf encoded = SipEncoder.encode(UnpooledByteBufAllocator.DEFAULT, forwarded);
+            assertTrue(encoded.readableBytes() <= SipDecoder.MAX_MESSAGE_BYTES);
+            encoded.release();
+        }
+    }
+
+    /** Returns an INVITE of this size with compact header names and no Via, to which the node adds most. */
+    private static String inviteOfSize(int bytes) {
+        String head =
+                "INVITE sip:1@net SIP/2.0\r\ni:%016x\r\nCSeq:1 INVITE\r\nX-Cos:dear\r\nX-Timer-Ms:1500\r\nl:%d\r\n\r\n";
+        int bodyBytes = bytes - String.format(head, 0, 10_000).length();
+        return String.format(head, bytes, bodyBytes) + "x".repeat(bodyBytes);
+    }
 }
