Front node: a coordinator that is slow to serve a new connection is heard

Cause: CoordinatorClient gave a connection up after 1.5 s without a frame, also before its first one, so a coordinator that takes 2 s to serve a connection was never heard.

Change: the time for a first frame doubles with each connection that brings none, up to 6 s, and follows from the last first frame.

--- a/src/main/java/damsonseam/node/CoordinatorClient.java
+++ b/src/main/java/damsonseam/node/CoordinatorClient.java
@@ -26,7 +26,8 @@
 /**
  * Subscribes to the coordinator, which sends numbered server-list updates in binary frames. If the connection breaks,
  * brings no frame within {@link #SILENCE_TIMEOUT_MS} or shows a gap in the numbers, the client reconnects and requests
- * the updates after the last one that it has. There is one connection at a time, and each one that ends is followed
+ * the updates after the last one that it has. A coordinator may be slow to serve a new connection: the time for a first
+ * frame doubles with each connection that brings none, up to {@link #MAX_FIRST_FRAME_TIMEOUT_MS}. There is one connection at a time, and each one that ends is followed
  * by one backoff, whoever requests an update: a fleet that lost its coordinator must not flood it when it returns.
  * Used on the event loop only.
  */
@@ -35,6 +36,9 @@
     /** The coordinator sends a frame each second; waiting for two missing ones would detect its silence too late. */
     private static final double SILENCE_TIMEOUT_MS = 1_500;
 
+    /** Limit of the time for a first frame: a connection that is dead must not keep the list for longer. */
+    private static final double MAX_FIRST_FRAME_TIMEOUT_MS = 6_000;
+
     private static final double INITIAL_BACKOFF_MS = 50;
     private static final double MAX_BACKOFF_MS = 500;
     private static final int CONNECT_TIMEOUT_MS = 500;
@@ -48,7 +52,12 @@
     private Router router;
     private Endpoint address;
     private Channel channel;
+    private double connectedMs;
     private double lastReceivedMs;
+    /** Whether the present connection has brought a frame. */
+    private boolean frameReceived;
+
+    private double firstFrameTimeoutMs = SILENCE_TIMEOUT_MS;
     private double backoffMs = INITIAL_BACKOFF_MS;
     /** Counts connections and backoffs: events of an earlier generation are ignored. */
     private long generation;
@@ -103,6 +112,7 @@
                     .log("coordinator address changed");
             address = newAddress;
             backoffMs = INITIAL_BACKOFF_MS;
+            firstFrameTimeoutMs = SILENCE_TIMEOUT_MS;
             connect();
         }
     }
@@ -112,7 +122,9 @@
             return;
         }
         long connectionGeneration = disconnect();
-        lastReceivedMs = loop.now();
+        connectedMs = loop.now();
+        lastReceivedMs = connectedMs;
+        frameReceived = false;
         ChannelFuture connectFuture = new Bootstrap()
                 .group(loop.eventLoop())
                 .channel(NioSocketChannel.class)
@@ -152,7 +164,10 @@
             if (connectionGeneration != generation) {
                 return;
             }
-            if (now - lastReceivedMs > SILENCE_TIMEOUT_MS) {
+            if (now - lastReceivedMs > (frameReceived ? SILENCE_TIMEOUT_MS : firstFrameTimeoutMs)) {
+                if (!frameReceived) {
+                    setFirstFrameTimeout(2 * firstFrameTimeoutMs);
+                }
                 onConnectionLost(connectionGeneration, "no frame in time");
             } else {
                 scheduleSilenceCheck(connectionGeneration);
@@ -160,6 +175,10 @@
         });
     }
 
+    private void setFirstFrameTimeout(double timeoutMs) {
+        firstFrameTimeoutMs = Math.max(SILENCE_TIMEOUT_MS, Math.min(MAX_FIRST_FRAME_TIMEOUT_MS, timeoutMs));
+    }
+
     private void onConnectionLost(long connectionGeneration, String reason) {
         if (connectionGeneration != generation || closed) {
             return;
@@ -181,6 +200,10 @@
     /** Handles one frame; a null update means that there is no update up to {@code number} that this node lacks. */
     private void onFrame(long connectionGeneration, long number, ServerListUpdate update) {
         lastReceivedMs = loop.now();
+        if (!frameReceived) {
+            frameReceived = true;
+            setFirstFrameTimeout(2 * (lastReceivedMs - connectedMs));
+        }
         if (update != null ? apply(update) : number <= router.serverList().version() || number <= lastGapNumber) {
             backoffMs = INITIAL_BACKOFF_MS;
             return;
--- a/src/test/java/damsonseam/node/CoordinatorRaceTest.java
+++ b/src/test/java/damsonseam/node/CoordinatorRaceTest.java
@@ -4,8 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assertions.fail;
 
 import damsonseam.node.NodeFixture.EstablishedCall;
+import java.io.IOException;
 import java.net.ServerSocket;
 import java.net.SocketTimeoutException;
 import org.awaitility.Awaitility;
@@ -144,4 +146,26 @@
             fixture.awaitEmpty();
         }
     }
+
+    // Guards against review case 2: a coordinator that needs longer for its first frame was never heard.
+    @Test
+    void coordinatorThatIsSlowToServeAConnectionIsHeard() throws Exception {
+        try (NodeFixture fixture = new NodeFixture(1)) {
+            for (int i = 0; i < 3; i++) {
+                // Each connection is served 2 s after the request for updates.
+                NodeFixture.CoordinatorConnection coordinator = fixture.acceptCoordinator();
+                Thread.sleep(2_000);
+                try {
+                    coordinator.sendFrame(2, 2, 0, fixture.serverSockets.get(0).getLocalPort(), 1);
+                } catch (IOException e) {
+                    continue; // Closed by the node.
+                }
+                Thread.sleep(200);
+                if (fixture.node.serverListVersion() == 2) {
+                    return;
+                }
+            }
+            fail("no update of a slow coordinator was applied");
+        }
+    }
 }
