--- a/src/main/java/damsonseam/node/CoordinatorClient.java
+++ b/src/main/java/damsonseam/node/CoordinatorClient.java
@@ -27,9 +27,10 @@
  * Subscribes to the coordinator, which sends numbered server-list updates in binary frames. If the connection breaks,
  * brings no frame within {@link #SILENCE_TIMEOUT_MS} or shows a gap in the numbers, the client reconnects and requests
  * the updates after the last one that it has. A coordinator may be slow to serve a new connection: the time for a first
- * frame doubles with each connection that brings none, up to {@link #MAX_FIRST_FRAME_TIMEOUT_MS}. There is one connection at a time, and each one that ends is followed
- * by one backoff, whoever requests an update: a fleet that lost its coordinator must not flood it when it returns.
- * Used on the event loop only.
+ * frame doubles with each connection that brings none, up to {@link #MAX_FIRST_FRAME_TIMEOUT_MS}.
+ *
+ * <p>There is one connection at a time, and each one that ends is followed by one backoff, whoever requests an update:
+ * a fleet that lost its coordinator must not flood it when it returns. Used on the event loop only.
  */
 final class CoordinatorClient implements RouterPorts.Directory {
     private static final Logger LOG = LoggerFactory.getLogger(CoordinatorClient.class);
